--- /dev/null
+++ b/cmd/comfreyford/main.go
@@ -0,0 +1,13 @@
+// Command comfreyford is the entry daemon, the operators' command line and the
+// stand-ins in one binary.
+package main
+
+import (
+	"os"
+
+	"github.com/comfreyford/comfreyford/internal/commander"
+)
+
+func main() {
+	os.Exit(commander.Main(os.Args, os.Stdout, os.Stderr))
+}
