Add messages between entry daemons over QUIC and the metrics

Cause: entry daemons have to exchange reports, promises and forwarded requests; operators need histograms per team and class. Change: internal/messenger with one stream per request, CBOR envelopes that carry a version, bodies that end with length and digest, and mutual TLS with several trusted authorities; internal/recorder with one table of metrics. Ruled out: datagrams (an answer would have to be matched by an id) and TLS session tickets (a resumed session would outlive a CA rotation).

--- /dev/null
+++ b/internal/messenger/messenger_test.go
@@ -0,0 +1,301 @@
+package messenger
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+type echo struct {
+	Text string `cbor:"text"`
+}
+
+// credentials returns TLS configurations for names, signed by authority, that trust all of trusted.
+func credentials(t *testing.T, name string, authority *Authority, trusted ...*Authority) *tls.Config {
+	t.Helper()
+	dir := t.TempDir()
+	files := Files{
+		Certificate: filepath.Join(dir, "certificate.pem"),
+		Key:         filepath.Join(dir, "key.pem"),
+	}
+	for i, a := range trusted {
+		file := filepath.Join(dir, "ca"+string(rune('0'+i))+".pem")
+		if err := a.WriteCertificate(file); err != nil {
+			t.Fatal(err)
+		}
+		files.CAs = append(files.CAs, file)
+	}
+	if err := authority.Issue(name, files.Certificate, files.Key, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := LoadTLS(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+func authority(t *testing.T) *Authority {
+	t.Helper()
+	a, err := NewAuthority("test", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func start(t *testing.T, cfg *tls.Config, handlers map[Kind]Handler) *Messenger {
+	t.Helper()
+	m, err := New(Config{
+		Listen:   "127.0.0.1:0",
+		TLS:      cfg,
+		Handlers: handlers,
+		Logger:   hclog.NewNullLogger(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- m.Serve(context.Background()) }()
+	t.Cleanup(func() {
+		if err := m.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return m
+}
+
+func handlers() map[Kind]Handler {
+	return map[Kind]Handler{
+		"echo": Unary(func(_ context.Context, peer string, request echo) (echo, error) {
+			if request.Text == "fail" {
+				return echo{}, errors.New("refused by handler")
+			}
+			return echo{Text: peer + ":" + request.Text}, nil
+		}),
+		"body": func(_ context.Context, _ string, s *Stream) error {
+			body, err := io.ReadAll(s.Body())
+			if err != nil {
+				return err
+			}
+			if err := s.Answer(echo{Text: "ok"}); err != nil {
+				return err
+			}
+			return s.SendBody(bytes.NewReader(body))
+		},
+		"cut": func(_ context.Context, _ string, s *Stream) error {
+			if err := s.Answer(echo{Text: "ok"}); err != nil {
+				return err
+			}
+			if err := writeFrame(s.stream, frameData, []byte("half")); err != nil {
+				return err
+			}
+			return nil // ends the stream without the end frame
+		},
+	}
+}
+
+func TestCallFailsWithTypedErrors(t *testing.T) {
+	ca := authority(t)
+	server := start(t, credentials(t, "b", ca, ca), handlers())
+	stranger := authority(t)
+	next := authority(t)
+	cases := []struct {
+		name string
+		cfg  *tls.Config
+		addr string
+		kind Kind
+		text string
+		want string
+		err  error
+	}{
+		{
+			name: "peer's name comes from its certificate",
+			cfg:  credentials(t, "a", ca, ca),
+			addr: server.Addr(),
+			kind: "echo",
+			text: "x",
+			want: "a:x",
+		},
+		{
+			name: "two authorities are trusted during a rotation",
+			cfg:  credentials(t, "a", ca, next, ca),
+			addr: server.Addr(),
+			kind: "echo",
+			text: "x",
+			want: "a:x",
+		},
+		{
+			name: "server of an unknown authority is refused",
+			cfg:  credentials(t, "a", ca, stranger),
+			addr: server.Addr(),
+			kind: "echo",
+			err:  ErrUnreachable,
+		},
+		{
+			name: "unknown kind of a newer release",
+			cfg:  credentials(t, "a", ca, ca),
+			addr: server.Addr(),
+			kind: "later",
+			err:  ErrUnsupported,
+		},
+		{
+			name: "error of the handler",
+			cfg:  credentials(t, "a", ca, ca),
+			addr: server.Addr(),
+			kind: "echo",
+			text: "fail",
+			err:  ErrRemote,
+		},
+		{
+			name: "nobody listens",
+			cfg:  credentials(t, "a", ca, ca),
+			addr: "127.0.0.1:1",
+			kind: "echo",
+			err:  ErrUnreachable,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			client := start(t, c.cfg, nil)
+			got, err := Call[echo, echo](context.Background(), client, c.addr, c.kind, echo{Text: c.text})
+			if !errors.Is(err, c.err) {
+				t.Fatalf("got error %v, want %v", err, c.err)
+			}
+			if got.Text != c.want {
+				t.Fatalf("got %q, want %q", got.Text, c.want)
+			}
+		})
+	}
+}
+
+func TestClientOfUnknownAuthorityGetsNoAnswer(t *testing.T) {
+	ca := authority(t)
+	stranger := authority(t)
+	server := start(t, credentials(t, "b", ca, ca), handlers())
+	client := start(t, credentials(t, "a", stranger, ca), nil)
+	answer, err := Call[echo, echo](context.Background(), client, server.Addr(), "echo", echo{Text: "x"})
+	if err == nil {
+		t.Fatalf("got answer %q, want an error", answer.Text)
+	}
+}
+
+func TestBodyArrivesWholeOrNotAtAll(t *testing.T) {
+	ca := authority(t)
+	server := start(t, credentials(t, "b", ca, ca), handlers())
+	client := start(t, credentials(t, "a", ca, ca), nil)
+	cases := []struct {
+		name string
+		kind Kind
+		n    int
+		err  error
+	}{
+		{
+			name: "empty",
+			kind: "body",
+		},
+		{
+			name: "several frames",
+			kind: "body",
+			n:    3*maxDataFrameBytes + 7,
+		},
+		{
+			name: "truncated",
+			kind: "cut",
+			err:  ErrTruncated,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			want := bytes.Repeat([]byte("x"), c.n)
+			s, err := client.Open(context.Background(), server.Addr(), c.kind, echo{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			if err := s.SendBody(bytes.NewReader(want)); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.CloseSend(); err != nil {
+				t.Fatal(err)
+			}
+			var answer echo
+			if err := s.Receive(&answer); err != nil {
+				t.Fatal(err)
+			}
+			got, err := io.ReadAll(s.Body())
+			if !errors.Is(err, c.err) {
+				t.Fatalf("got error %v, want %v", err, c.err)
+			}
+			if c.err == nil && !bytes.Equal(got, want) {
+				t.Fatalf("got %d bytes, want %d", len(got), len(want))
+			}
+		})
+	}
+}
+
+func TestCanceledCallReachesHandler(t *testing.T) {
+	ca := authority(t)
+	canceled := make(chan struct{})
+	started := make(chan struct{})
+	server := start(t, credentials(t, "b", ca, ca), map[Kind]Handler{
+		"wait": func(ctx context.Context, _ string, _ *Stream) error {
+			close(started)
+			<-ctx.Done()
+			close(canceled)
+			return ctx.Err()
+		},
+	})
+	client := start(t, credentials(t, "a", ca, ca), nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-started
+		cancel()
+	}()
+	if _, err := Call[echo, echo](ctx, client, server.Addr(), "wait", echo{}); err == nil {
+		t.Fatal("got an answer, want an error")
+	}
+	<-canceled
+}
+
+func FuzzReadFrame(f *testing.F) {
+	f.Add([]byte{frameMessage, 0, 0, 0, 1, 0xa0})
+	f.Add([]byte{frameData, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{frameEnd, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, content []byte) {
+		body, err := io.ReadAll(newBodyReader(bytes.NewReader(content)))
+		if len(body) > len(content) {
+			t.Fatalf("read %d bytes of %d", len(body), len(content))
+		}
+		if err != nil {
+			return
+		}
+		var buffer bytes.Buffer
+		w := newBodyWriter(&buffer)
+		if _, err := w.Write(body); err != nil {
+			t.Fatal(err)
+		}
+		if err := w.Close(); err != nil {
+			t.Fatal(err)
+		}
+		again, err := io.ReadAll(newBodyReader(&buffer))
+		if err != nil || !bytes.Equal(again, body) {
+			t.Fatalf("got %d bytes and %v, want the same %d bytes", len(again), err, len(body))
+		}
+	})
+}
--- /dev/null
+++ b/internal/recorder/recorder_test.go
@@ -0,0 +1,46 @@
+package recorder
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against metrics that the page for operators names and the daemon does not serve.
+func TestPageServesEveryRecordedMetric(t *testing.T) {
+	r, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Request(Labels{
+		Team:    "orders",
+		Class:   "interactive",
+		Outcome: "done",
+	}, time.Millisecond)
+	r.Wait("orders", "interactive", time.Millisecond)
+	r.Added("interactive", time.Millisecond)
+	r.Attempt("quotes", "done")
+	r.Forward("no_allowance")
+	r.StoreCall("get", "ok")
+	r.Restart("membership")
+	for _, m := range Table() {
+		if m.Kind != KindGauge {
+			continue
+		}
+		if err := r.Observe(m.Name, func() []Sample { return []Sample{{Value: 1}} }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w := httptest.NewRecorder()
+	r.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	page := w.Body.String()
+	for _, m := range Table() {
+		if !strings.Contains(page, "\n"+m.Name) {
+			t.Errorf("the page lacks %s", m.Name)
+		}
+	}
+	if !strings.Contains(page, `team="orders"`) {
+		t.Error("the page has no histogram for the team")
+	}
+}
--- /dev/null
+++ b/internal/recorder/table.go
@@ -0,0 +1,162 @@
+package recorder
+
+// Kind is the kind of an instrument.
+type Kind string
+
+// The kinds of instruments.
+const (
+	KindHistogram Kind = "histogram"
+	KindCounter   Kind = "counter"
+	KindGauge     Kind = "gauge"
+)
+
+// Metric describes one metric. The page for operators is produced from Table.
+type Metric struct {
+	Name   string
+	Kind   Kind
+	Unit   string
+	Labels string
+	Help   string
+}
+
+// Names of the metrics.
+const (
+	RequestDuration  = "comfreyford_request_duration"
+	RequestWait      = "comfreyford_request_wait"
+	AddedLatency     = "comfreyford_added_latency"
+	Requests         = "comfreyford_requests"
+	Attempts         = "comfreyford_attempts"
+	Forwards         = "comfreyford_forwards"
+	StoreCalls       = "comfreyford_store_calls"
+	RunningSlots     = "comfreyford_running_slots"
+	Allowance        = "comfreyford_allowance_slots"
+	QueuedRequests   = "comfreyford_queued_requests"
+	ConfigRevision   = "comfreyford_config_revision"
+	ConfigAge        = "comfreyford_config_age"
+	LivePeers        = "comfreyford_live_peers"
+	UsableTargets    = "comfreyford_usable_targets"
+	EjectedTargets   = "comfreyford_ejected_targets"
+	OwnedShards      = "comfreyford_owned_shards"
+	SupervisedFaults = "comfreyford_component_restarts"
+)
+
+// Table returns all metrics in the order of the page for operators.
+func Table() []Metric {
+	return []Metric{
+		{
+			Name:   RequestDuration,
+			Kind:   KindHistogram,
+			Unit:   "s",
+			Labels: "team, class, outcome",
+			Help:   "time from the request's head to the last byte of the answer",
+		},
+		{
+			Name:   RequestWait,
+			Kind:   KindHistogram,
+			Unit:   "s",
+			Labels: "team, class",
+			Help:   "time in queues before the first start at a target",
+		},
+		{
+			Name:   AddedLatency,
+			Kind:   KindHistogram,
+			Unit:   "s",
+			Labels: "class",
+			Help:   "time in the entry daemon without the time at targets",
+		},
+		{
+			Name:   Requests,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "team, class, outcome, reason",
+			Help:   "answered requests",
+		},
+		{
+			Name:   Attempts,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "pool, result",
+			Help:   "starts at targets, retries included",
+		},
+		{
+			Name:   Forwards,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "reason",
+			Help:   "requests that were sent on to another entry daemon",
+		},
+		{
+			Name:   StoreCalls,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "op, result",
+			Help:   "calls to the platform's key-value service",
+		},
+		{
+			Name:   RunningSlots,
+			Kind:   KindGauge,
+			Unit:   "1",
+			Labels: "team",
+			Help:   "slots that run for a team from this entry daemon",
+		},
+		{
+			Name:   Allowance,
+			Kind:   KindGauge,
+			Unit:   "1",
+			Labels: "team",
+			Help:   "slots of a team's upper limit that this entry daemon holds",
+		},
+		{
+			Name:   QueuedRequests,
+			Kind:   KindGauge,
+			Unit:   "1",
+			Labels: "team, class",
+			Help:   "requests that wait for a slot",
+		},
+		{
+			Name: ConfigRevision,
+			Kind: KindGauge,
+			Unit: "1",
+			Help: "revision of the configuration in force here",
+		},
+		{
+			Name: ConfigAge,
+			Kind: KindGauge,
+			Unit: "s",
+			Help: "age of the proof that this revision is the newest; keyed work stops above config_staleness_limit",
+		},
+		{
+			Name: LivePeers,
+			Kind: KindGauge,
+			Unit: "1",
+			Help: "entry daemons that reported within the last 3 s",
+		},
+		{
+			Name:   UsableTargets,
+			Kind:   KindGauge,
+			Unit:   "1",
+			Labels: "pool",
+			Help:   "targets that take new work",
+		},
+		{
+			Name:   EjectedTargets,
+			Kind:   KindGauge,
+			Unit:   "1",
+			Labels: "pool",
+			Help:   "targets that are ejected because they fail",
+		},
+		{
+			Name: OwnedShards,
+			Kind: KindGauge,
+			Unit: "1",
+			Help: "journal shards that this entry daemon owns",
+		},
+		{
+			Name:   SupervisedFaults,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "component",
+			Help:   "restarts of a component by its supervisor",
+		},
+	}
+}
