--- /dev/null
+++ b/internal/server/caller.go
@@ -0,0 +1,195 @@
+// Package server is the HTTP side of an entry daemon: callers, operators,
+// health and metrics.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/comfreyford/comfreyford/internal/dispatcher"
+)
+
+// Headers of the caller's API.
+const (
+	HeaderKey      = "Comfreyford-Key"
+	HeaderOutcome  = "Comfreyford-Outcome"
+	HeaderTimeout  = "Comfreyford-Timeout-Ms"
+	HeaderIdentity = "Idempotency-Key"
+)
+
+const (
+	maxTimeout      = 24 * time.Hour
+	writeTimeout    = 30 * time.Second // for each part of an answer: a caller that reads slower is dropped
+	bodyReadTimeout = 30 * time.Second // for the whole body: a slow sender must not hold a request open
+	copyBufferBytes = 32 << 10
+)
+
+// Credential is what an accepted key proves. Both fields are empty without a key.
+type Credential struct {
+	Team  string
+	KeyID string
+}
+
+// Dispatcher carries out requests.
+type Dispatcher interface {
+	// Submit runs or accepts a request. The result's body must be closed.
+	Submit(ctx context.Context, r dispatcher.Request) dispatcher.Result
+	// Job tells about accepted work or cancels it. The result's body must be closed.
+	Job(ctx context.Context, r dispatcher.JobRequest) dispatcher.Result
+}
+
+// CallerConfig configures the caller's API.
+type CallerConfig struct {
+	Dispatcher Dispatcher
+	// Authenticate checks the value of HeaderKey. A reason other than "" refuses the request.
+	Authenticate    func(key string) (Credential, dispatcher.Reason)
+	MaxRequestBytes int64
+	Logger          hclog.Logger
+}
+
+type caller struct {
+	cfg CallerConfig
+}
+
+// NewCaller returns the handler of the caller's API.
+func NewCaller(cfg CallerConfig) http.Handler {
+	c := &caller{cfg: cfg}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/queues/{queue}/{path...}", c.submit)
+	mux.HandleFunc("GET /v1/jobs/{identity}", c.job(dispatcher.JobState))
+	mux.HandleFunc("GET /v1/jobs/{identity}/result", c.job(dispatcher.JobResult))
+	mux.HandleFunc("DELETE /v1/jobs/{identity}", c.job(dispatcher.JobCancel))
+	return mux
+}
+
+func (c *caller) submit(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	deadline, err := parseDeadline(r, now)
+	if err != nil {
+		c.answer(w, dispatcher.NotRun(dispatcher.ReasonBadRequest, err.Error()))
+		return
+	}
+	credential, reason := c.cfg.Authenticate(r.Header.Get(HeaderKey))
+	if reason != "" {
+		c.answer(w, dispatcher.NotRun(reason, "the key was not accepted"))
+		return
+	}
+	if r.ContentLength > c.cfg.MaxRequestBytes {
+		c.answer(w, dispatcher.NotRun(dispatcher.ReasonBodyTooLarge, "the body exceeds "+strconv.FormatInt(c.cfg.MaxRequestBytes, 10)+" bytes"))
+		return
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(now.Add(bodyReadTimeout)); err != nil {
+		c.cfg.Logger.Debug("no read deadline", "error", err)
+	}
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	c.answer(w, c.cfg.Dispatcher.Submit(r.Context(), dispatcher.Request{
+		Queue:       r.PathValue("queue"),
+		Method:      r.Method,
+		Path:        path,
+		ContentType: r.Header.Get("Content-Type"),
+		Identity:    r.Header.Get(HeaderIdentity),
+		Team:        credential.Team,
+		KeyID:       credential.KeyID,
+		Deadline:    deadline,
+		Body:        http.MaxBytesReader(w, r.Body, c.cfg.MaxRequestBytes),
+	}))
+}
+
+func (c *caller) job(action dispatcher.JobAction) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		credential, reason := c.cfg.Authenticate(r.Header.Get(HeaderKey))
+		if reason != "" {
+			c.answer(w, dispatcher.NotRun(reason, "the key was not accepted"))
+			return
+		}
+		c.answer(w, c.cfg.Dispatcher.Job(r.Context(), dispatcher.JobRequest{
+			Action:   action,
+			Identity: r.PathValue("identity"),
+			Team:     credential.Team,
+		}))
+	}
+}
+
+// refusal is the body of an answer that is not the application's.
+type refusal struct {
+	Outcome dispatcher.Outcome `json:"outcome"`
+	Reason  dispatcher.Reason  `json:"reason"`
+	Detail  string             `json:"detail"`
+}
+
+// answer writes the result. It aborts the connection when the body breaks off,
+// so that the caller can't take a truncated answer as whole.
+func (c *caller) answer(w http.ResponseWriter, result dispatcher.Result) {
+	header := w.Header()
+	header.Set(HeaderOutcome, string(result.Outcome))
+	if result.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(result.RetryAfter.Round(time.Second)/time.Second)))
+	}
+	if result.Body == nil {
+		header.Set("Content-Type", "application/json")
+		w.WriteHeader(result.Status)
+		if err := json.NewEncoder(w).Encode(refusal{
+			Outcome: result.Outcome,
+			Reason:  result.Reason,
+			Detail:  result.Detail,
+		}); err != nil {
+			c.cfg.Logger.Debug("caller gone", "error", err)
+		}
+		return
+	}
+	defer result.Body.Close()
+	if result.ContentType != "" {
+		header.Set("Content-Type", result.ContentType)
+	}
+	w.WriteHeader(result.Status)
+	if err := copyAnswer(w, result.Body); err != nil {
+		c.cfg.Logger.Warn("answer broken off", "error", err)
+		panic(http.ErrAbortHandler) // the documented way of net/http to abort a response
+	}
+}
+
+// copyAnswer streams the body and gives each part of it a write deadline.
+func copyAnswer(w http.ResponseWriter, body io.Reader) error {
+	controller := http.NewResponseController(w)
+	buffer := make([]byte, copyBufferBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if err := controller.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+				return err
+			}
+			if _, err := w.Write(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func parseDeadline(r *http.Request, now time.Time) (time.Time, error) {
+	value := r.Header.Get(HeaderTimeout)
+	if value == "" {
+		return time.Time{}, nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms < 1 || ms > maxTimeout.Milliseconds() {
+		return time.Time{}, errors.New(HeaderTimeout + ": want whole milliseconds from 1 to " +
+			strconv.FormatInt(maxTimeout.Milliseconds(), 10) + ", got " + strconv.Quote(value))
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond), nil
+}
