--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -6,7 +6,9 @@
 	"crypto/tls"
 	"errors"
 	"io"
+	"net"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -273,6 +275,128 @@
 	<-canceled
 }
 
+// relay forwards datagrams between a client and a server. After silence it
+// drops those of the flows that it has seen, as a stateful middlebox does that
+// has lost track of them, and passes new flows.
+type relay struct {
+	front  *net.UDPConn
+	server *net.UDPAddr
+
+	mu    sync.Mutex
+	flows map[string]*flow
+	conns []*net.UDPConn // of all flows, replaced ones included
+}
+
+type flow struct {
+	conn   *net.UDPConn
+	silent bool
+}
+
+func newRelay(t *testing.T, server string) *relay {
+	t.Helper()
+	addr, err := net.ResolveUDPAddr("udp", server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{
+		front:  front,
+		server: addr,
+		flows:  map[string]*flow{},
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { r.forward(&wg) })
+	t.Cleanup(func() {
+		_ = front.Close()
+		r.mu.Lock()
+		for _, conn := range r.conns {
+			_ = conn.Close()
+		}
+		r.mu.Unlock()
+		wg.Wait()
+	})
+	return r
+}
+
+// forward passes datagrams of the client on; a flow is told by the destination
+// connection id that the client's first packets carry and by its address.
+func (r *relay) forward(wg *sync.WaitGroup) {
+	buffer := make([]byte, 2048)
+	for {
+		n, from, err := r.front.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		const longHeader = 0x80
+		first := buffer[0]&longHeader != 0 // handshake packets belong to a new connection
+		r.mu.Lock()
+		f := r.flows[from.String()]
+		if f == nil || f.silent && first {
+			conn, err := net.DialUDP("udp", nil, r.server)
+			if err != nil {
+				r.mu.Unlock()
+				return
+			}
+			f = &flow{conn: conn}
+			r.flows[from.String()] = f
+			r.conns = append(r.conns, conn)
+			wg.Go(func() { r.back(f, from) })
+		}
+		silent := f.silent
+		r.mu.Unlock()
+		if !silent {
+			_, _ = f.conn.Write(buffer[:n])
+		}
+	}
+}
+
+func (r *relay) back(f *flow, client *net.UDPAddr) {
+	buffer := make([]byte, 2048)
+	for {
+		n, err := f.conn.Read(buffer)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		silent := f.silent
+		r.mu.Unlock()
+		if !silent {
+			_, _ = r.front.WriteToUDP(buffer[:n], client)
+		}
+	}
+}
+
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.flows {
+		f.silent = true
+	}
+}
+
+// Guards against calls that wait for ever on a connection which a middlebox has
+// lost track of while new connections work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	ca := authority(t)
+	server := start(t, credentials(t, "b", ca, ca), handlers())
+	r := newRelay(t, server.Addr())
+	client := start(t, credentials(t, "a", ca, ca), nil)
+	addr := r.front.LocalAddr().String()
+	if _, err := Call[echo, echo](context.Background(), client, addr, "echo", echo{Text: "x"}); err != nil {
+		t.Fatal(err)
+	}
+	r.silence()
+	if _, err := Call[echo, echo](context.Background(), client, addr, "echo", echo{Text: "x"}); err == nil {
+		t.Fatal("got an answer over a silent connection")
+	}
+	if _, err := Call[echo, echo](context.Background(), client, addr, "echo", echo{Text: "x"}); err != nil {
+		t.Fatalf("the call after the silence failed: %v", err)
+	}
+}
+
 func FuzzReadFrame(f *testing.F) {
 	f.Add([]byte{frameMessage, 0, 0, 0, 1, 0xa0})
 	f.Add([]byte{frameData, 0xff, 0xff, 0xff, 0xff})
