Add the platform emulator and the clients of its services

Cause: the project had a key-value interface with an in-memory implementation only. Entry daemons need clients of the platform's services, and the demo needs a platform to talk to.

Ruled out: httptrace.WroteHeaders as the sign that a write was sent. It is set by the goroutine that writes, so a cancelled call can return before it is set although the request still goes out. GotConn is set before anything is written.

Change: storer.Client and lister.Client over HTTP and JSON with bounded bodies and a timeout per call; lister.Memory; emulator.Platform with latency, outages, lost answers, list lag, reboots, call counts and an admin API. A hanging outage reads the request body first: net/http notices a lost caller only after that, and the handler would never end.

--- /dev/null
+++ b/pkg/storer/client_test.go
@@ -0,0 +1,164 @@
+package storer_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/comfreyford/comfreyford/internal/emulator"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// TestClientMapsFaults guards against a lost write that is taken as not made and
+// against a write that was not made being resolved at length.
+func TestClientMapsFaults(t *testing.T) {
+	status := func(code int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(code)
+			w.Write([]byte(body)) //nolint:errcheck // the client may have gone
+		}
+	}
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		write   error
+		read    error
+	}{
+		{"answer lost", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+			storer.ErrOutcomeUnknown, storer.ErrUnavailable},
+		{"no answer", func(_ http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body) //nolint:errcheck // the server notices a lost client only after the body
+			<-r.Context().Done()
+		}, storer.ErrOutcomeUnknown, storer.ErrUnavailable},
+		{"answer cut", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			w.Write([]byte(`{"version":`)) //nolint:errcheck // the client may have gone
+		}, storer.ErrOutcomeUnknown, storer.ErrUnavailable},
+		{"answer is not JSON", status(200, "<html>"), storer.ErrOutcomeUnknown, storer.ErrUnavailable},
+		{"answer too large", status(200, strings.Repeat(" ", 3<<20)), storer.ErrOutcomeUnknown, storer.ErrUnavailable},
+		{"redirect", status(302, ""), storer.ErrOutcomeUnknown, storer.ErrUnavailable},
+		{"error of something between", status(503, "busy"), storer.ErrOutcomeUnknown, storer.ErrUnavailable},
+		{"unknown error code", status(500, `{"error":"new"}`), storer.ErrOutcomeUnknown, storer.ErrUnavailable},
+		{"service refuses", status(503, `{"error":"unavailable"}`), storer.ErrUnavailable, storer.ErrUnavailable},
+		{"write without a version", status(200, `{}`), storer.ErrOutcomeUnknown, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client := serve(t, tt.handler)
+				_, err := client.CompareAndSwap(t.Context(), storer.Write{Key: "a"})
+				wantOnly(t, err, tt.write)
+				_, err = client.Get(t.Context(), "a")
+				wantOnly(t, err, tt.read)
+			})
+		})
+	}
+}
+
+func wantOnly(t *testing.T, got, want error) {
+	t.Helper()
+	for _, err := range []error{storer.ErrUnavailable, storer.ErrOutcomeUnknown, storer.ErrConflict} {
+		if errors.Is(got, err) != errors.Is(want, err) {
+			t.Fatalf("error is %v, want %v", got, want)
+		}
+	}
+}
+
+// TestClientReportsUnsentWriteAsUnavailable guards against unneeded resolution of
+// writes while the service cannot be reached.
+func TestClientReportsUnsentWriteAsUnavailable(t *testing.T) {
+	dials := []struct {
+		name string
+		dial func(ctx context.Context, network, address string) (net.Conn, error)
+	}{
+		{"refused", func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }},
+		{"no route", func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}},
+	}
+	for _, tt := range dials {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client := storer.NewClient(storer.ClientConfig{
+					Address: "platform",
+					Dial:    tt.dial,
+				})
+				defer client.Close()
+				start := time.Now()
+				_, err := client.CompareAndSwap(t.Context(), storer.Write{Key: "a"})
+				wantOnly(t, err, storer.ErrUnavailable)
+				if time.Since(start) > storer.DefaultTimeout {
+					t.Fatalf("took %v", time.Since(start))
+				}
+			})
+		})
+	}
+}
+
+// TestLostAnswerTookEffect guards against a platform that loses writes instead of answers.
+func TestLostAnswerTookEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, platform := openClient(t)
+		if err := platform.SetFaults(emulator.PlatformFaults{LoseWrites: 1}); err != nil {
+			t.Fatal(err)
+		}
+		_, err := client.CompareAndSwap(t.Context(), storer.Write{Key: "a", Value: []byte("1")})
+		wantOnly(t, err, storer.ErrOutcomeUnknown)
+		if got := mustGet(t, client, "a"); string(got.Value) != "1" {
+			t.Fatalf("value is %q", got.Value)
+		}
+	})
+}
+
+// TestOutageTakesNoWrite guards against an outage during which writes still take effect.
+func TestOutageTakesNoWrite(t *testing.T) {
+	for _, outage := range []emulator.Outage{emulator.OutageRefuse, emulator.OutageHang} {
+		t.Run(string(outage), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client, platform := openClient(t)
+				if err := platform.SetFaults(emulator.PlatformFaults{Outage: outage}); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := client.CompareAndSwap(t.Context(), storer.Write{Key: "a"}); err == nil {
+					t.Fatal("a write succeeded during the outage")
+				}
+				if err := platform.SetFaults(emulator.PlatformFaults{}); err != nil {
+					t.Fatal(err)
+				}
+				if got := mustGet(t, client, "a"); got.Version != 0 {
+					t.Fatal("a write took effect during the outage")
+				}
+			})
+		})
+	}
+}
+
+// TestCallsAreCounted guards against rates that hide waiting watches or merge seconds.
+func TestCallsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, platform := openClient(t)
+		for range 3 {
+			mustGet(t, client, "a")
+		}
+		time.Sleep(time.Second)
+		mustGet(t, client, "a")
+		go client.Watch(t.Context(), "a", 0, time.Second) //nolint:errcheck // only its count matters
+		synctest.Wait()
+		calls := platform.Calls()
+		want := emulator.CallCount{Total: 4, LastSecond: 3, MaxPerSecond: 3}
+		if calls["get"] != want {
+			t.Fatalf("get: %+v, want %+v", calls["get"], want)
+		}
+		if calls["watch"].Waiting != 1 || calls["watch"].Total != 1 {
+			t.Fatalf("watch: %+v", calls["watch"])
+		}
+		time.Sleep(2 * time.Second)
+	})
+}
