--- a/internal/emulator/keyvalue.go
+++ b/internal/emulator/keyvalue.go
@@ -185,6 +185,17 @@
 	return v, nil
 }
 
+// readAdminJSON is strict, so that a mistyped fault is not taken as none.
+func readAdminJSON[T any](r *http.Request) (T, error) {
+	var v T
+	decoder := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&v); err != nil {
+		return v, fmt.Errorf("%w: %w", errBadRequest, err)
+	}
+	return v, nil
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/internal/emulator/vms.go
+++ b/internal/emulator/vms.go
@@ -43,7 +43,7 @@
 		writeJSON(w, http.StatusOK, p.Faults())
 	})
 	mux.HandleFunc("PUT /admin/faults", func(w http.ResponseWriter, r *http.Request) {
-		faults, err := readJSON[PlatformFaults](r)
+		faults, err := readAdminJSON[PlatformFaults](r)
 		if err == nil {
 			err = p.SetFaults(faults)
 		}
@@ -53,7 +53,7 @@
 		writeJSON(w, http.StatusOK, p.Calls())
 	})
 	mux.HandleFunc("POST /admin/vms", func(w http.ResponseWriter, r *http.Request) {
-		vm, err := readJSON[lister.VM](r)
+		vm, err := readAdminJSON[lister.VM](r)
 		if err == nil {
 			err = p.vms.Put(vm)
 		}
--- /dev/null
+++ b/internal/emulator/worker.go
@@ -0,0 +1,343 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/comfreyford/comfreyford/pkg/runner"
+)
+
+const (
+	// DefaultSlots and the figures below are those of the users' VMs today.
+	DefaultSlots = 8
+	// DefaultConnections is the number of connections that a worker accepts at a time.
+	DefaultConnections = 64
+	// DefaultCPUMillis is 32 processors.
+	DefaultCPUMillis = 32_000
+	// DefaultMemoryMB is 64 GB.
+	DefaultMemoryMB = 65_536
+	// DefaultAnswerRetention is how long answers of ended tasks are kept.
+	DefaultAnswerRetention = 10 * time.Minute
+	// sessionMemory is how long an ended session id is remembered. It exceeds the
+	// time in which a delayed request can still arrive.
+	sessionMemory = time.Hour
+	// forgetInterval is the time between searches for what is not kept any longer.
+	forgetInterval = time.Second
+	// maxBodyBytes bounds the body of a task.
+	maxBodyBytes = 16 << 20
+)
+
+// WorkerFaults are the faults that can be set at run time.
+type WorkerFaults struct {
+	// FailAll makes each task end at once with status 500.
+	FailAll bool `json:"fail_all"`
+	// Truncate cuts each answer to half, but states its full length and digest.
+	Truncate bool `json:"truncate"`
+	// SlowMS is added to the duration of each task that is started.
+	SlowMS int64 `json:"slow_ms"`
+	// UsageLagMS is the age of the usage report.
+	UsageLagMS int64 `json:"usage_lag_ms"`
+}
+
+func (f WorkerFaults) validate() error {
+	largest := maxDelay.Milliseconds()
+	if f.SlowMS < 0 || f.SlowMS > largest || f.UsageLagMS < 0 || f.UsageLagMS > largest {
+		return fmt.Errorf("%w: slow_ms and usage_lag_ms must be 0 to %d", errBadRequest, largest)
+	}
+	return nil
+}
+
+// WorkerConfig configures a Worker.
+type WorkerConfig struct {
+	Total           runner.Resources
+	AnswerRetention time.Duration // zero means DefaultAnswerRetention
+	Faults          WorkerFaults
+}
+
+// DefaultResources returns the resources of a VM of today's size.
+func DefaultResources() runner.Resources {
+	return runner.Resources{
+		Slots:     DefaultSlots,
+		CPUMillis: DefaultCPUMillis,
+		MemoryMB:  DefaultMemoryMB,
+	}
+}
+
+// Worker emulates the platform's program on one VM. It is a Target itself; see
+// WorkerServer for its network side.
+type Worker struct {
+	cfg WorkerConfig
+
+	mu       sync.Mutex
+	boot     string
+	sessions map[string]*session
+	tasks    map[string]*task
+	forgot   time.Time // when forget last looked for what is not kept any longer
+	used     runner.Resources
+	running  int
+	usage    []usageView // oldest first
+	draining bool
+	faults   WorkerFaults
+	runs     runLog
+}
+
+// session is the lease under which tasks run.
+type session struct {
+	expires time.Time
+	revoked bool
+	timer   *time.Timer // ends the tasks at expires
+}
+
+func (s *session) open(now time.Time) bool {
+	return s != nil && !s.revoked && now.Before(s.expires)
+}
+
+var _ runner.Target = (*Worker)(nil)
+
+// NewWorker returns a worker without sessions and tasks.
+func NewWorker(cfg WorkerConfig) (*Worker, error) {
+	if cfg.AnswerRetention == 0 {
+		cfg.AnswerRetention = DefaultAnswerRetention
+	}
+	if cfg.Total.Slots < 1 || cfg.Total.CPUMillis < 0 || cfg.Total.MemoryMB < 0 || cfg.Total.Accelerators < 0 {
+		return nil, fmt.Errorf("%w: resources %+v must have a slot and nothing negative", errBadRequest, cfg.Total)
+	}
+	if err := cfg.Faults.validate(); err != nil {
+		return nil, err
+	}
+	w := &Worker{
+		cfg:    cfg,
+		faults: cfg.Faults,
+	}
+	w.reset()
+	return w, nil
+}
+
+// Reboot stops all tasks and forgets sessions, tasks and answers. The log of runs
+// is kept, because it belongs to the emulation and not to the emulated VM.
+func (w *Worker) Reboot() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.sessions {
+		s.timer.Stop()
+	}
+	for _, t := range w.tasks {
+		w.finish(t, runner.StateStopped)
+	}
+	w.reset()
+}
+
+func (w *Worker) reset() {
+	w.boot = uuid.NewString()
+	w.sessions = map[string]*session{}
+	w.tasks = map[string]*task{}
+	w.used = runner.Resources{}
+	w.running = 0
+	w.usage = nil
+	w.draining = false
+	w.recordUsage()
+}
+
+// SetDraining makes the worker refuse new tasks, or accept them again.
+func (w *Worker) SetDraining(draining bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.draining = draining
+	w.recordUsage()
+}
+
+// Draining reports whether the worker refuses new tasks.
+func (w *Worker) Draining() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.draining
+}
+
+// Faults returns the present faults.
+func (w *Worker) Faults() WorkerFaults {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults
+}
+
+// SetFaults replaces the faults.
+func (w *Worker) SetFaults(f WorkerFaults) error {
+	if err := f.validate(); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+	return nil
+}
+
+// OpenSession implements runner.Target. A session that has ended is not opened again.
+func (w *Worker) OpenSession(ctx context.Context, id string, ttl time.Duration) (string, error) {
+	if err := ctx.Err(); err != nil {
+		return "", runner.Error.Wrap(err)
+	}
+	if id == "" || ttl <= 0 || ttl > maxDelay {
+		return "", runner.Error.New("%w: a session needs an id and a time to live up to %v", runner.ErrInvalid, maxDelay)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forget()
+	now := time.Now()
+	s := w.sessions[id]
+	if s == nil {
+		s = &session{}
+		s.timer = time.AfterFunc(ttl, func() { w.expire(id, s) })
+		w.sessions[id] = s
+	} else if !s.open(now) {
+		return "", runner.Error.Wrap(runner.NotRun(runner.ErrSessionEnded))
+	}
+	s.expires = now.Add(ttl)
+	s.timer.Reset(ttl)
+	return w.boot, nil
+}
+
+// RevokeSession implements runner.Target.
+func (w *Worker) RevokeSession(ctx context.Context, id string) (runner.Revocation, error) {
+	if err := ctx.Err(); err != nil {
+		return runner.Revocation{}, runner.Error.Wrap(err)
+	}
+	if id == "" {
+		return runner.Revocation{}, runner.Error.New("%w: a session needs an id", runner.ErrInvalid)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forget()
+	s := w.sessions[id]
+	if s == nil {
+		s = &session{expires: time.Now()}
+		s.timer = time.AfterFunc(0, func() {})
+		w.sessions[id] = s
+	}
+	s.revoked = true
+	revocation := runner.Revocation{Boot: w.boot}
+	for _, t := range w.tasks {
+		if t.spec.Session == id {
+			revocation.Tasks = append(revocation.Tasks, t.status())
+		}
+	}
+	return revocation, nil
+}
+
+// expire stops the tasks of a session whose time has passed.
+func (w *Worker) expire(id string, s *session) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// A renewal may have come between the timer and the lock.
+	if w.sessions[id] != s || time.Now().Before(s.expires) {
+		return
+	}
+	for _, t := range w.tasks {
+		if t.spec.Session == id {
+			w.finish(t, runner.StateStopped)
+		}
+	}
+}
+
+// forget drops what is not kept any longer, at most once per forgetInterval,
+// because it visits all kept answers.
+func (w *Worker) forget() {
+	now := time.Now()
+	if now.Sub(w.forgot) < forgetInterval {
+		return
+	}
+	w.forgot = now
+	for id, s := range w.sessions {
+		if now.Sub(s.expires) > sessionMemory {
+			delete(w.sessions, id)
+		}
+	}
+	for id, t := range w.tasks {
+		if t.ended() && now.Sub(t.endedAt) > w.cfg.AnswerRetention {
+			delete(w.tasks, id)
+		}
+	}
+}
+
+// Start implements runner.Target.
+func (w *Worker) Start(ctx context.Context, spec runner.Task, body io.Reader) (*runner.Answer, error) {
+	t, known, err := w.admit(ctx, spec)
+	if err != nil {
+		return nil, err
+	}
+	if !known {
+		hash := xxhash.New()
+		n, err := io.Copy(hash, io.LimitReader(body, maxBodyBytes+1))
+		if err == nil && n > maxBodyBytes {
+			err = fmt.Errorf("body larger than %d bytes", maxBodyBytes)
+		}
+		if err != nil {
+			w.abandon(t)
+			return nil, runner.Error.Wrap(runner.NotRun(err))
+		}
+		w.begin(t, runner.Digest{
+			Length: n,
+			Sum:    hash.Sum64(),
+		})
+	}
+	return w.await(ctx, t)
+}
+
+// admit returns the known task of this id, or a new one that holds its resources.
+func (w *Worker) admit(ctx context.Context, spec runner.Task) (t *task, known bool, err error) {
+	if err := ctx.Err(); err != nil {
+		return nil, false, runner.Error.Wrap(runner.NotRun(err))
+	}
+	app, err := parseBehaviour(spec.Path)
+	if err != nil || spec.ID == "" {
+		return nil, false, runner.Error.Wrap(runner.NotRun(fmt.Errorf("%w: task %q, path %q", runner.ErrInvalid, spec.ID, spec.Path)))
+	}
+	spec.Resources.Slots = max(spec.Resources.Slots, 1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forget()
+	if t := w.tasks[spec.ID]; t != nil {
+		return t, true, nil
+	}
+	refused := func(err error) (*task, bool, error) { return nil, false, runner.Error.Wrap(runner.NotRun(err)) }
+	switch {
+	case !w.sessions[spec.Session].open(time.Now()):
+		return refused(runner.ErrSessionEnded)
+	case w.draining:
+		return refused(runner.ErrDraining)
+	case !valid(spec.Resources) || !fits(runner.Resources{}, spec.Resources, w.cfg.Total):
+		return refused(fmt.Errorf("%w: the task needs %+v, the worker has %+v", runner.ErrInvalid, spec.Resources, w.cfg.Total))
+	case !fits(w.used, spec.Resources, w.cfg.Total):
+		return refused(runner.ErrBusy)
+	}
+	t = newTask(spec, app, w.faults)
+	w.tasks[spec.ID] = t
+	w.reserve(t)
+	return t, false, nil
+}
+
+// Usage implements runner.Target.
+func (w *Worker) Usage(ctx context.Context) (runner.Usage, error) {
+	if err := ctx.Err(); err != nil {
+		return runner.Usage{}, runner.Error.Wrap(err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reportUsage(), nil
+}
+
+// Health implements runner.Target.
+func (w *Worker) Health(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return runner.Error.Wrap(err)
+	}
+	if w.Draining() {
+		return runner.Error.Wrap(runner.ErrDraining)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/emulator/worker_listener.go
@@ -0,0 +1,104 @@
+package emulator
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// workerListener limits the connections of a worker and makes them silent or closes them.
+type workerListener struct {
+	net.Listener
+	limit int
+
+	mu    sync.Mutex
+	conns map[*workerConn]struct{}
+	down  time.Time // connections are closed at once until then
+}
+
+func newWorkerListener(l net.Listener, limit int) *workerListener {
+	return &workerListener{
+		Listener: l,
+		limit:    limit,
+		conns:    map[*workerConn]struct{}{},
+	}
+}
+
+// Accept implements net.Listener. Connections over the limit are closed.
+func (l *workerListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(conn); c != nil {
+			return c, nil
+		}
+		conn.Close() //nolint:errcheck // the peer sees a closed connection either way
+	}
+}
+
+func (l *workerListener) admit(conn net.Conn) *workerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.conns) >= l.limit || time.Now().Before(l.down) {
+		return nil
+	}
+	c := &workerConn{
+		Conn:     conn,
+		listener: l,
+	}
+	l.conns[c] = struct{}{}
+	return c
+}
+
+// silence makes all present connections but one silent for good.
+func (l *workerListener) silence(except *workerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c != except {
+			c.silent.Store(true)
+		}
+	}
+}
+
+// shut closes all connections but one, and new ones for a duration.
+func (l *workerListener) shut(except *workerConn, duration time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = time.Now().Add(duration)
+	for c := range l.conns {
+		if c != except {
+			c.Conn.Close() //nolint:errcheck // the connection may have ended already
+		}
+	}
+}
+
+func (l *workerListener) remove(c *workerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// workerConn is a connection that can go silent: it accepts bytes and sends none.
+type workerConn struct {
+	net.Conn
+	listener *workerListener
+	silent   atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *workerConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *workerConn) Close() error {
+	c.listener.remove(c)
+	return c.Conn.Close()
+}
