Add the platform and worker subcommands

Cause: the emulators could not be started as processes.

Ruled out: relying on urfave/cli's own handling of wrong flags, because it prints the whole help before the error, and its acceptance of extra arguments.

Errors of flags of all subcommands name the subcommand.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -17,6 +17,8 @@
 // verbs names every subcommand in the order in which help lists them.
 func verbs() []*cli.Command {
 	return []*cli.Command{
+		platformCommand(),
+		workerCommand(),
 		versionCommand(),
 	}
 }
@@ -34,6 +36,11 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
 	}
+	for _, verb := range root.Commands {
+		verb.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+			return fmt.Errorf("%s: %w", cmd.Name, err)
+		}
+	}
 	if err := root.Run(ctx, args); err != nil {
 		fmt.Fprintf(stderr, "comfreyford: %v\n", err)
 		return 1
--- /dev/null
+++ b/internal/commander/listen.go
@@ -0,0 +1,47 @@
+package commander
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+)
+
+// errArguments is the error of a subcommand that takes flags only.
+var errArguments = errors.New("unexpected arguments")
+
+// noArguments refuses arguments, which would otherwise be ignored.
+func noArguments(cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return fmt.Errorf("%s: %w %q, expected flags only", cmd.Name, errArguments, strings.Join(cmd.Args().Slice(), " "))
+	}
+	return nil
+}
+
+// bounded returns an error when the value of a flag is outside its bounds.
+func bounded[T cmp.Ordered](cmd *cli.Command, flag string, value, smallest, largest T) error {
+	if value < smallest || value > largest {
+		return fmt.Errorf("%s: --%s is %v, expected %v to %v", cmd.Name, flag, value, smallest, largest)
+	}
+	return nil
+}
+
+// listen opens a TCP listener for a subcommand.
+func listen(ctx context.Context, cmd *cli.Command, address string) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: --listen: %w", cmd.Name, err)
+	}
+	return listener, nil
+}
+
+// announce prints the address, so that whoever started the process knows that it
+// listens and on which port.
+func announce(cmd *cli.Command, listener net.Listener) error {
+	_, err := fmt.Fprintf(cmd.Root().Writer, "listening %s\n", listener.Addr())
+	return err
+}
