Let an emulated worker go silent on new connections, too

Cause: the fault covered present connections only, so a worker that accepts connections and says nothing could not be shown.

Ruled out: a separate listener for the admin API, because the platform emulator and the demo know one address per worker.

Change: POST /admin/silence?mute=true and POST /admin/unmute; the admin API stays reachable. The test of too large answers sends valid JSON that is too long.

--- a/internal/emulator/worker_listener.go
+++ b/internal/emulator/worker_listener.go
@@ -15,6 +15,7 @@
 	mu    sync.Mutex
 	conns map[*workerConn]struct{}
 	down  time.Time // connections are closed at once until then
+	mute  bool      // new connections are silent, too
 }
 
 func newWorkerListener(l net.Listener, limit int) *workerListener {
@@ -49,14 +50,17 @@
 		Conn:     conn,
 		listener: l,
 	}
+	c.silent.Store(l.mute)
 	l.conns[c] = struct{}{}
 	return c
 }
 
-// silence makes all present connections but one silent for good.
-func (l *workerListener) silence(except *workerConn) {
+// silence makes all present connections but one silent for good, and with mute
+// also new ones.
+func (l *workerListener) silence(except *workerConn, mute bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.mute = mute
 	for c := range l.conns {
 		if c != except {
 			c.silent.Store(true)
@@ -64,6 +68,13 @@
 	}
 }
 
+// unmute ends the silence of new connections. Silent ones stay so.
+func (l *workerListener) unmute() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mute = false
+}
+
 // shut closes all connections but one, and new ones for a duration.
 func (l *workerListener) shut(except *workerConn, duration time.Duration) {
 	l.mu.Lock()
--- a/internal/emulator/worker_server.go
+++ b/internal/emulator/worker_server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,9 +64,15 @@
 	return s.server.Close()
 }
 
-// Silence makes all present connections silent for good; new ones work.
-func (s *WorkerServer) Silence() {
-	s.listener.silence(nil)
+// Silence makes all present connections silent for good. New ones work, unless
+// mute is set; then they are silent until Unmute.
+func (s *WorkerServer) Silence(mute bool) {
+	s.listener.silence(nil, mute)
+}
+
+// Unmute ends the silence of new connections.
+func (s *WorkerServer) Unmute() {
+	s.listener.unmute()
 }
 
 // Reboot restarts the worker and refuses connections for a duration.
@@ -88,6 +95,10 @@
 		if s.worker.Draining() {
 			w.Header().Set(runner.HeaderDraining, "true")
 		}
+		// The admin API answers on new connections of a mute worker, too.
+		if conn := connOf(r); conn != nil && strings.HasPrefix(r.URL.Path, "/admin/") {
+			conn.silent.Store(false)
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
@@ -205,7 +216,11 @@
 		writeAdminResult(w, nil)
 	})
 	mux.HandleFunc("POST /admin/silence", func(w http.ResponseWriter, r *http.Request) {
-		s.listener.silence(connOf(r))
+		s.listener.silence(connOf(r), r.URL.Query().Get("mute") == "true")
+		writeAdminResult(w, nil)
+	})
+	mux.HandleFunc("POST /admin/unmute", func(w http.ResponseWriter, _ *http.Request) {
+		s.Unmute()
 		writeAdminResult(w, nil)
 	})
 	mux.HandleFunc("POST /admin/reboot", func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/runner/client_test.go
+++ b/pkg/runner/client_test.go
@@ -132,7 +132,7 @@
 		f.open(t, "s1")
 		result := f.start(t, newTask("t1", "/x?duration_ms=8000"))
 		time.Sleep(time.Second)
-		server.Silence()
+		server.Silence(false)
 		start := time.Now()
 		err := <-result
 		want(t, err, runner.ErrOutcomeUnknown)
@@ -149,6 +149,27 @@
 	})
 }
 
+// TestMuteWorkerIsNoticedAndReachedAgain guards against a client that waits without
+// end for a worker that accepts connections and says nothing.
+func TestMuteWorkerIsNoticedAndReachedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := serve(t, newWorker(t))
+		must(t, client.Health(t.Context()))
+		server.Silence(true)
+		for range 2 {
+			start := time.Now()
+			_, err := client.Answer(t.Context(), "t1")
+			want(t, err, runner.ErrOutcomeUnknown)
+			if took := time.Since(start); took > 2*time.Second {
+				t.Fatalf("silence was noticed after %v", took)
+			}
+		}
+		server.Unmute()
+		time.Sleep(2 * time.Second)
+		must(t, client.Health(t.Context()))
+	})
+}
+
 // TestLongTaskIsNotSilent guards against the close of a connection on which only a long task is outstanding.
 func TestLongTaskIsNotSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/storer/client_test.go
+++ b/pkg/storer/client_test.go
@@ -41,7 +41,7 @@
 			w.Write([]byte(`{"version":`)) //nolint:errcheck // the client may have gone
 		}, storer.ErrOutcomeUnknown, storer.ErrUnavailable},
 		{"answer is not JSON", status(200, "<html>"), storer.ErrOutcomeUnknown, storer.ErrUnavailable},
-		{"answer too large", status(200, strings.Repeat(" ", 3<<20)), storer.ErrOutcomeUnknown, storer.ErrUnavailable},
+		{"answer too large", status(200, `{"version":1}`+strings.Repeat(" ", 3<<20)), storer.ErrOutcomeUnknown, storer.ErrUnavailable},
 		{"redirect", status(302, ""), storer.ErrOutcomeUnknown, storer.ErrUnavailable},
 		{"error of something between", status(503, "busy"), storer.ErrOutcomeUnknown, storer.ErrUnavailable},
 		{"unknown error code", status(500, `{"error":"new"}`), storer.ErrOutcomeUnknown, storer.ErrUnavailable},
