Add the settings tree: commit, history and view

Cause: the configuration had document types only; nothing stored, validated or distributed them.

Change: one head (CBOR) and immutable TOML documents in the key-value service. Commit checks expected versions, validates documents and references, resolves lost answers by the change id and retries when other paths changed. A View publishes the tree together with its proof of freshness through one atomic pointer, accepts only greater revisions, and applies deltas from the store and from peers with the same code.

Ruled out: tree and proof in two atomics, because a reader could combine an old tree with a new proof; blind retry after a lost answer; a conflict when the answer was lost and the history has moved on, because the write may have taken effect (it is reported as unknown). Documents are validated strictly when they are committed; a view ignores unknown keys, so that a document of the next release does not stop this one.

--- /dev/null
+++ b/pkg/configurer/commit.go
@@ -0,0 +1,264 @@
+package configurer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+const (
+	// CommitTimeout bounds one change.
+	CommitTimeout = 4 * time.Second
+
+	retryDelayMin = 5 * time.Millisecond
+	retryDelayMax = 200 * time.Millisecond
+	// The old documents are deleted after the change is stored; a slow service must not delay its answer for long.
+	cleanupTimeout = 500 * time.Millisecond
+)
+
+// Committer writes changes to the store.
+type Committer struct {
+	Store storer.Store
+	View  *View // is brought up to date by each commit
+}
+
+// attempt is the commit of one change.
+type attempt struct {
+	*Committer
+	change Change
+	// unresolved is the revision that a head write without an answer would have made; zero: none.
+	unresolved uint64
+}
+
+// Commit stores the change and returns its revision.
+//
+// Errors wrap ErrConflict (as *ConflictError), ErrInvalid (as *ValidationError),
+// ErrChangeIDReused and ErrNotStored, after which nothing was stored, or
+// ErrOutcomeUnknown. The call takes at most CommitTimeout.
+func (c *Committer) Commit(ctx context.Context, change Change) (uint64, error) {
+	if err := change.check(); err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, CommitTimeout)
+	defer cancel()
+	a := &attempt{
+		Committer: c,
+		change:    change,
+	}
+	delay := retryDelayMin
+	for {
+		revision, done, err := a.try(ctx)
+		if done {
+			return revision, err
+		}
+		select {
+		case <-ctx.Done():
+			return 0, a.expired(err)
+		case <-time.After(delay):
+			delay = min(2*delay, retryDelayMax)
+		}
+	}
+}
+
+func (a *attempt) expired(cause error) error {
+	if a.unresolved != 0 {
+		return Error.New("change %s: %w: %w", a.change.ID, ErrOutcomeUnknown, cause)
+	}
+	return Error.New("change %s: %w: %w", a.change.ID, ErrNotStored, cause)
+}
+
+// try makes one attempt on the present head. Without done the attempt may be repeated.
+func (a *attempt) try(ctx context.Context) (revision uint64, done bool, err error) {
+	start := time.Now()
+	item, err := a.Store.Get(ctx, headKey)
+	if err != nil {
+		return 0, false, err
+	}
+	h, docs, err := a.View.take(ctx, a.Store, item, start)
+	if err != nil {
+		// Documents that left the history are deleted: the head that named them is outdated.
+		return 0, errors.Is(err, ErrInvalid), err
+	}
+	if revision, ok, err := a.stored(h, docs); ok || err != nil {
+		return revision, true, err
+	}
+	if a.unresolved != 0 && h.Revision >= a.unresolved {
+		if !h.covers(a.unresolved) {
+			return 0, true, a.expired(errors.New("the change may have left the history"))
+		}
+		a.unresolved = 0
+	}
+	if err := a.checkOn(h, docs); err != nil {
+		return 0, true, err
+	}
+	if err := a.writeDocuments(ctx); err != nil {
+		return 0, errors.Is(err, ErrChangeIDReused), err
+	}
+	return a.writeHead(ctx, h, item.Version, start)
+}
+
+// stored looks for the change in the history and in the documents of the head.
+func (a *attempt) stored(h head, docs map[string]loaded) (uint64, bool, error) {
+	if entry, ok := h.entry(a.change.ID); ok {
+		if entry.Digest != a.change.digest() {
+			return 0, false, Error.New("change %s: %w", a.change.ID, ErrChangeIDReused)
+		}
+		return entry.Revision, true, nil
+	}
+	for _, e := range a.change.Edits {
+		ref := h.Documents[e.Path]
+		if ref.Version != a.change.ID {
+			continue
+		}
+		if e.Remove || docs[e.Path].Text != e.Text {
+			return 0, false, Error.New("change %s: %w", a.change.ID, ErrChangeIDReused)
+		}
+		return ref.Revision, true, nil
+	}
+	return 0, false, nil
+}
+
+// checkOn compares the expected versions and validates the tree after the change.
+func (a *attempt) checkOn(h head, docs map[string]loaded) error {
+	conflict := &ConflictError{}
+	after := maps.Clone(docs)
+	if after == nil {
+		after = map[string]loaded{}
+	}
+	for _, e := range a.change.Edits {
+		if actual := h.Documents[e.Path].Version; actual != e.Expected || e.Remove && actual == "" {
+			conflict.Mismatches = append(conflict.Mismatches, Mismatch{
+				Path:     e.Path,
+				Expected: e.Expected,
+				Actual:   actual,
+			})
+		}
+		if e.Remove {
+			delete(after, e.Path)
+			continue
+		}
+		value, _ := parseDocument(e.Path, e.Text, true) // has no problems: checked by Commit
+		after[e.Path] = loaded{value: value}
+	}
+	if len(conflict.Mismatches) > 0 {
+		return Error.Wrap(conflict)
+	}
+	return invalid(checkReferences(buildTree(h.Revision+1, after)))
+}
+
+// writeDocuments creates the documents of the change. It may be repeated.
+func (a *attempt) writeDocuments(ctx context.Context) error {
+	for _, e := range a.change.Edits {
+		if e.Remove {
+			continue
+		}
+		key := docKey(e.Path, a.change.ID)
+		_, err := a.Store.CompareAndSwap(ctx, storer.Write{
+			Key:   key,
+			Value: []byte(e.Text),
+		})
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, storer.ErrConflict) {
+			return err
+		}
+		item, err := a.Store.Get(ctx, key)
+		if err != nil {
+			return err
+		}
+		if !bytes.Equal(item.Value, []byte(e.Text)) {
+			return Error.New("change %s: %s: %w", a.change.ID, e.Path, ErrChangeIDReused)
+		}
+	}
+	return nil
+}
+
+func (a *attempt) writeHead(ctx context.Context, h head, version storer.Version, start time.Time) (uint64, bool, error) {
+	next, dropped := h.next(a.change)
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		return 0, true, Error.Wrap(err)
+	}
+	_, err = a.Store.CompareAndSwap(ctx, storer.Write{
+		Key:      headKey,
+		Value:    value,
+		Expected: version,
+	})
+	switch {
+	case err == nil:
+		a.publish(h, next, start)
+		a.cleanUp(ctx, dropped)
+		return next.Revision, true, nil
+	case errors.Is(err, storer.ErrTooLarge):
+		return 0, true, Error.New("change %s: head of %d bytes: %w: %w", a.change.ID, len(value), ErrNotStored, err)
+	case errors.Is(err, storer.ErrConflict):
+		// A write that found another version has not taken effect, and an earlier
+		// one without an answer is found or ruled out on the next head.
+	case errors.Is(err, storer.ErrUnavailable):
+	default:
+		a.unresolved = next.Revision
+	}
+	return 0, false, err
+}
+
+// publish brings the own view to the new revision without another read.
+func (a *attempt) publish(before, after head, start time.Time) {
+	d := Delta{
+		From:     before.Revision,
+		Revision: after.Revision,
+		Recent:   after.Recent[len(after.Recent)-1:],
+		Known:    true,
+	}
+	for _, e := range a.change.Edits {
+		if e.Remove {
+			d.Removed = append(d.Removed, e.Path)
+			continue
+		}
+		d.Documents = append(d.Documents, Document{
+			Path:     e.Path,
+			Version:  a.change.ID,
+			Revision: after.Revision,
+			Text:     e.Text,
+		})
+	}
+	// A view that was faster or slower meanwhile learns the revision from its next read.
+	_ = a.View.Apply(d, start)
+}
+
+// cleanUp deletes documents that left the history. What it fails to delete stays in the
+// store unused.
+func (a *attempt) cleanUp(ctx context.Context, dropped []Entry) {
+	ctx, cancel := context.WithTimeout(ctx, cleanupTimeout)
+	defer cancel()
+	for _, entry := range dropped {
+		for path, version := range entry.Replaced {
+			item, err := a.Store.Get(ctx, docKey(path, version))
+			if err != nil || item.Version == 0 {
+				continue
+			}
+			_ = a.Store.Delete(ctx, item.Key, item.Version)
+		}
+	}
+}
+
+// Version returns a document version of the head or the history, or ErrNotFound.
+func (c *Committer) Version(ctx context.Context, path, version string) (string, error) {
+	if _, _, err := SplitPath(path); err != nil {
+		return "", err
+	}
+	item, err := c.Store.Get(ctx, docKey(path, version))
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	if item.Version == 0 {
+		return "", Error.New("%s version %s: %w", path, version, ErrNotFound)
+	}
+	return string(item.Value), nil
+}
--- /dev/null
+++ b/pkg/configurer/head.go
@@ -0,0 +1,108 @@
+package configurer
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+const (
+	headKey   = "config/head"
+	docPrefix = "config/doc/"
+
+	// HistoryRevisions is the number of changes that the head keeps.
+	HistoryRevisions = 64
+)
+
+// Ref is the place of a document in the head.
+type Ref struct {
+	Version  string `cbor:"version" json:"version"`   // id of the change that wrote the document
+	Revision uint64 `cbor:"revision" json:"revision"` // revision of that change
+}
+
+// Entry describes one committed change.
+type Entry struct {
+	ID       string            `cbor:"id" json:"id"`
+	Revision uint64            `cbor:"revision" json:"revision"`
+	Author   string            `cbor:"author" json:"author"`
+	Paths    []string          `cbor:"paths" json:"paths"`
+	Replaced map[string]string `cbor:"replaced" json:"replaced,omitempty"` // path to the version before the change
+	Digest   string            `cbor:"digest" json:"-"`                    // SHA-256 of the edits; detects reuse of the id
+}
+
+// head is the value of config/head. Its version is that of the key in the store.
+type head struct {
+	Revision  uint64         `cbor:"revision"`
+	Documents map[string]Ref `cbor:"documents"`
+	Recent    []Entry        `cbor:"recent"` // oldest first
+}
+
+func decodeHead(item storer.Item) (head, error) {
+	h := head{Documents: map[string]Ref{}}
+	if item.Version == 0 {
+		return h, nil
+	}
+	if err := cbor.Unmarshal(item.Value, &h); err != nil {
+		return head{}, Error.New("%s: not a CBOR head: %w", headKey, err)
+	}
+	if h.Documents == nil {
+		h.Documents = map[string]Ref{}
+	}
+	return h, nil
+}
+
+// entry returns the committed change with this id.
+func (h head) entry(id string) (Entry, bool) {
+	i := slices.IndexFunc(h.Recent, func(e Entry) bool { return e.ID == id })
+	if i < 0 {
+		return Entry{}, false
+	}
+	return h.Recent[i], true
+}
+
+// covers reports whether the history reaches back to the revision.
+func (h head) covers(revision uint64) bool {
+	return h.Revision < revision || len(h.Recent) > 0 && h.Recent[0].Revision <= revision
+}
+
+// next returns the head after the change and the entries that left the history.
+func (h head) next(c Change) (head, []Entry) {
+	n := head{
+		Revision:  h.Revision + 1,
+		Documents: make(map[string]Ref, len(h.Documents)+len(c.Edits)),
+	}
+	for path, ref := range h.Documents {
+		n.Documents[path] = ref
+	}
+	entry := Entry{
+		ID:       c.ID,
+		Revision: n.Revision,
+		Author:   c.Author,
+		Replaced: map[string]string{},
+		Digest:   c.digest(),
+	}
+	for _, edit := range c.Edits {
+		entry.Paths = append(entry.Paths, edit.Path)
+		if old, ok := n.Documents[edit.Path]; ok {
+			entry.Replaced[edit.Path] = old.Version
+		}
+		if edit.Remove {
+			delete(n.Documents, edit.Path)
+			continue
+		}
+		n.Documents[edit.Path] = Ref{
+			Version:  c.ID,
+			Revision: n.Revision,
+		}
+	}
+	recent := append(slices.Clone(h.Recent), entry)
+	drop := max(0, len(recent)-HistoryRevisions)
+	n.Recent = recent[drop:]
+	return n, recent[:drop]
+}
+
+func docKey(path, version string) string {
+	return docPrefix + path + "/" + version
+}
--- /dev/null
+++ b/pkg/configurer/view.go
@@ -0,0 +1,366 @@
+package configurer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+const (
+	// StalenessLimit is the age of the knowledge of the head up to which keyed work is admitted.
+	StalenessLimit = 3 * time.Second
+	// RightLossTime is the time without proof of freshness after which others may count
+	// a member as no longer using an older revision: the limit, 1% clock drift and 500 ms.
+	RightLossTime = StalenessLimit + StalenessLimit/100 + 500*time.Millisecond
+)
+
+var (
+	// ErrOlderRevision means that a delta leads to a smaller revision than the current one; it was ignored.
+	ErrOlderRevision = errors.New("older revision")
+	// ErrDeltaBase means that a delta builds on another revision than the current one; it was ignored.
+	ErrDeltaBase = errors.New("delta builds on another revision")
+)
+
+// Delta leads from one revision to a greater one, or confirms the revision when both are equal.
+type Delta struct {
+	From      uint64        `cbor:"from"` // revision on which the delta builds; zero: it holds the whole tree
+	Revision  uint64        `cbor:"revision"`
+	Documents []Document    `cbor:"documents,omitempty"`
+	Removed   []string      `cbor:"removed,omitempty"`
+	Recent    []Entry       `cbor:"recent,omitempty"` // history after From
+	Known     bool          `cbor:"known"`            // false: the sender never had proof of the head
+	Age       time.Duration `cbor:"age"`              // age of the sender's knowledge of the head
+}
+
+// State is a tree with the proof that it was current.
+type State struct {
+	Tree  *Tree
+	Proof time.Time // start of the read that proved it, with its monotonic reading; zero: never proved
+}
+
+// Age returns how long ago the tree was proved to be current, and false if it never was.
+func (s State) Age(now time.Time) (time.Duration, bool) {
+	if s.Proof.IsZero() {
+		return 0, false
+	}
+	return now.Sub(s.Proof), true
+}
+
+// Fresh reports whether keyed work may be admitted under this tree.
+func (s State) Fresh(now time.Time) bool {
+	age, ok := s.Age(now)
+	return ok && age <= StalenessLimit
+}
+
+// snapshot is immutable. The tree and its proof are published together: a reader that
+// combined an old tree with a new proof would admit work under a withdrawn key.
+type snapshot struct {
+	State
+	docs    map[string]loaded
+	recent  []Entry
+	learned time.Time // when the revision was taken over
+	// superseded is closed when the view has a greater revision.
+	superseded chan struct{}
+}
+
+// View holds the current tree of one process. Its revision never decreases.
+type View struct {
+	log     hclog.Logger
+	mu      sync.Mutex // serialises updates
+	current atomic.Pointer[snapshot]
+}
+
+// NewView returns a view with an empty tree of revision zero. A nil logger is allowed.
+func NewView(log hclog.Logger) *View {
+	if log == nil {
+		log = hclog.NewNullLogger()
+	}
+	v := &View{log: log}
+	v.current.Store(&snapshot{
+		State:      State{Tree: buildTree(0, nil)},
+		superseded: make(chan struct{}),
+	})
+	return v
+}
+
+// Current returns the tree and its proof without a lock. The tree must not be changed.
+func (v *View) Current() State {
+	return v.current.Load().State
+}
+
+// Await waits until the view has a greater revision than the given one.
+func (v *View) Await(ctx context.Context, revision uint64) (State, error) {
+	for {
+		s := v.current.Load()
+		if s.Tree.Revision > revision {
+			return s.State, nil
+		}
+		select {
+		case <-s.superseded:
+		case <-ctx.Done():
+			return s.State, Error.Wrap(ctx.Err())
+		}
+	}
+}
+
+// Document returns one document, or ErrNotFound.
+func (v *View) Document(path string) (Document, error) {
+	doc, ok := v.current.Load().docs[path]
+	if !ok {
+		return Document{}, Error.New("%s: %w", path, ErrNotFound)
+	}
+	return doc.Document, nil
+}
+
+// Documents returns the revision and all its documents, sorted by path.
+func (v *View) Documents() (uint64, []Document) {
+	s := v.current.Load()
+	docs := make([]Document, 0, len(s.docs))
+	for _, path := range slices.Sorted(maps.Keys(s.docs)) {
+		docs = append(docs, s.docs[path].Document)
+	}
+	return s.Tree.Revision, docs
+}
+
+// History returns the changes to the path, newest first; an empty path means all.
+func (v *View) History(path string) []Entry {
+	var entries []Entry
+	for _, e := range slices.Backward(v.current.Load().recent) {
+		if path == "" || slices.Contains(e.Paths, path) {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
+// Since returns what a peer at the revision lacks, and the age of this view's knowledge.
+func (v *View) Since(revision uint64, now time.Time) Delta {
+	s := v.current.Load()
+	d := Delta{
+		From:     revision,
+		Revision: s.Tree.Revision,
+	}
+	d.Age, d.Known = s.Age(now)
+	if revision >= s.Tree.Revision {
+		d.From = s.Tree.Revision
+		return d
+	}
+	if len(s.recent) == 0 || s.recent[0].Revision > revision+1 {
+		// Removals before the history are not known.
+		d.From = 0
+	}
+	for _, path := range slices.Sorted(maps.Keys(s.docs)) {
+		if doc := s.docs[path]; doc.Revision > d.From {
+			d.Documents = append(d.Documents, doc.Document)
+		}
+	}
+	removed := map[string]bool{}
+	for _, e := range s.recent {
+		if e.Revision <= d.From {
+			continue
+		}
+		d.Recent = append(d.Recent, e)
+		for _, path := range e.Paths {
+			if _, ok := s.docs[path]; !ok {
+				removed[path] = true
+			}
+		}
+	}
+	d.Removed = slices.Sorted(maps.Keys(removed))
+	return d
+}
+
+// Apply takes over a delta from the store or a peer. The request for it was sent at start.
+//
+// It returns ErrOlderRevision, ErrDeltaBase or a *ValidationError and keeps the current
+// tree when the delta cannot be applied.
+func (v *View) Apply(d Delta, start time.Time) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.current.Load()
+	have := s.Tree.Revision
+	if d.Revision < have {
+		// A read that began before the revision was learned may well return an older one.
+		if start.Add(-d.Age).After(s.learned) {
+			v.log.Error("ignored an older revision", "have", have, "received", d.Revision)
+		}
+		return Error.New("%w: have %d, received %d", ErrOlderRevision, have, d.Revision)
+	}
+	proof := time.Time{}
+	if d.Known && d.Age >= 0 {
+		proof = start.Add(-d.Age)
+	}
+	if d.Revision == have {
+		v.prove(s, proof)
+		return nil
+	}
+	if d.From != 0 && d.From != have {
+		return Error.New("%w: have %d, delta builds on %d", ErrDeltaBase, have, d.From)
+	}
+	next, err := s.apply(d)
+	if err != nil {
+		return err
+	}
+	next.Proof = proof
+	// The older tree was current at its own proof, so no later revision existed then.
+	if s.Proof.After(proof) {
+		next.Proof = s.Proof
+	}
+	v.current.Store(next)
+	close(s.superseded)
+	return nil
+}
+
+// Confirm records a proof that the head had this revision at the given time.
+// A proof of another revision is ignored.
+func (v *View) Confirm(revision uint64, proof time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.current.Load()
+	if s.Tree.Revision == revision {
+		v.prove(s, proof)
+	}
+}
+
+func (v *View) prove(s *snapshot, proof time.Time) {
+	if !proof.After(s.Proof) {
+		return
+	}
+	next := *s
+	next.Proof = proof
+	v.current.Store(&next)
+}
+
+func (s *snapshot) apply(d Delta) (*snapshot, error) {
+	docs := map[string]loaded{}
+	var recent []Entry
+	if d.From != 0 {
+		maps.Copy(docs, s.docs)
+		recent = slices.Clone(s.recent)
+	}
+	for _, path := range d.Removed {
+		delete(docs, path)
+	}
+	var problems []Problem
+	for _, doc := range d.Documents {
+		value, p := parseDocument(doc.Path, doc.Text, false)
+		problems = append(problems, p...)
+		docs[doc.Path] = loaded{
+			Document: doc,
+			value:    value,
+		}
+	}
+	if err := invalid(problems); err != nil {
+		return nil, err
+	}
+	recent = append(recent, d.Recent...)
+	return &snapshot{
+		State:      State{Tree: buildTree(d.Revision, docs)},
+		docs:       docs,
+		learned:    time.Now(),
+		superseded: make(chan struct{}),
+		recent:     recent[max(0, len(recent)-HistoryRevisions):],
+	}, nil
+}
+
+// Refresh reads the head and takes over a greater revision.
+func (v *View) Refresh(ctx context.Context, store storer.Store) error {
+	start := time.Now()
+	item, err := store.Get(ctx, headKey)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, _, err = v.take(ctx, store, item, start)
+	return err
+}
+
+// Watch waits until the head changes from the given version of its key, or until wait
+// has passed, and takes over a greater revision. It returns the version to wait from next.
+func (v *View) Watch(ctx context.Context, store storer.Store, known storer.Version, wait time.Duration) (storer.Version, error) {
+	start := time.Now()
+	item, err := store.Watch(ctx, headKey, known, wait)
+	if err != nil {
+		return known, Error.Wrap(err)
+	}
+	if _, _, err := v.take(ctx, store, item, start); err != nil {
+		return known, err
+	}
+	return item.Version, nil
+}
+
+// take applies a head that was read from the store. It returns the head and the
+// documents under it, which may be older than the view when another update was faster.
+func (v *View) take(ctx context.Context, store storer.Store, item storer.Item, start time.Time) (head, map[string]loaded, error) {
+	h, err := decodeHead(item)
+	if err != nil {
+		return head{}, nil, err
+	}
+	s := v.current.Load()
+	d, err := s.delta(ctx, store, h)
+	if err != nil {
+		return head{}, nil, err
+	}
+	if err := v.Apply(d, start); err != nil && !errors.Is(err, ErrDeltaBase) {
+		return head{}, nil, err
+	}
+	// After ErrDeltaBase a concurrent update has changed the view; the head is valid all the same.
+	if d.Revision == s.Tree.Revision {
+		return h, s.docs, nil
+	}
+	next, err := s.apply(d)
+	if err != nil {
+		return head{}, nil, err
+	}
+	return h, next.docs, nil
+}
+
+// delta reads the documents of the head that the snapshot lacks.
+func (s *snapshot) delta(ctx context.Context, store storer.Store, h head) (Delta, error) {
+	d := Delta{
+		From:     s.Tree.Revision,
+		Revision: h.Revision,
+		Known:    true,
+	}
+	if h.Revision <= s.Tree.Revision {
+		return d, nil
+	}
+	for _, path := range slices.Sorted(maps.Keys(h.Documents)) {
+		ref := h.Documents[path]
+		if s.docs[path].Version == ref.Version {
+			continue
+		}
+		item, err := store.Get(ctx, docKey(path, ref.Version))
+		if err != nil {
+			return Delta{}, Error.Wrap(err)
+		}
+		if item.Version == 0 {
+			return Delta{}, Error.Wrap(fmt.Errorf("%s version %s: %w", path, ref.Version, ErrNotFound))
+		}
+		d.Documents = append(d.Documents, Document{
+			Path:     path,
+			Version:  ref.Version,
+			Revision: ref.Revision,
+			Text:     string(item.Value),
+		})
+	}
+	for path := range s.docs {
+		if _, ok := h.Documents[path]; !ok {
+			d.Removed = append(d.Removed, path)
+		}
+	}
+	for _, e := range h.Recent {
+		if e.Revision > d.From {
+			d.Recent = append(d.Recent, e)
+		}
+	}
+	return d, nil
+}
