Add the settings of the entry daemon

Cause: the entry daemon needs its addresses, certificates, limits and intervals, and must not start with a part of them.

Change: one table of keys with type, unit, default, bounds and help. A file is checked as a whole, and each problem names file, line, key, value and what was expected. The table prints itself as markdown.

Ruled out: keys for times on which guarantees between daemons rest (staleness limit, holder timeout, session lease, retention of identities), because daemons with different values would break the guarantee. Positions from the TOML library: it has none for keys, so lines are found by a scan.

--- /dev/null
+++ b/internal/loader/loader_test.go
@@ -0,0 +1,157 @@
+package loader
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const valid = `name = "entry-1"
+region = "north"
+availability_zone = "north-a"
+caller_address = "127.0.0.1:8080"
+operator_address = "127.0.0.1:8081"
+metrics_address = "127.0.0.1:8082"
+peer_address = "127.0.0.1:8080"
+platform_address = "http://127.0.0.1:7000"
+certificate_file = "entry.pem"
+private_key_file = "entry-key.pem"
+ca_files = ["ca.pem"]
+operator_key_sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
+`
+
+// Guards against defaults that differ from the design page.
+func TestDefaults(t *testing.T) {
+	s, err := Parse("entry.toml", valid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.RequestBodyLimitBytes != 1<<20 || s.AnswerBodyLimitBytes != 16<<20 || s.JournalBodyLimitBytes != 512<<10 {
+		t.Errorf("limits of bodies: %+v", s)
+	}
+	if s.InteractiveTimeout != 30*time.Second || s.DeferrableTimeout != time.Hour || s.DrainDelay != time.Second {
+		t.Errorf("timeouts: %+v", s)
+	}
+	if s.ReportInterval != 250*time.Millisecond || s.ConfigPollInterval != 500*time.Millisecond || s.HeartbeatInterval != 5*time.Second {
+		t.Errorf("intervals: %+v", s)
+	}
+}
+
+// Guards against bad values that pass, and against errors that do not name their place.
+func TestProblemsNameTheirPlace(t *testing.T) {
+	cases := []struct {
+		name, old, new, want string
+	}{
+		{name: "unknown key", new: "nam = 1\n", want: `entry.toml:13: nam: unknown key with 1; want a key of the reference`},
+		{name: "upper case", old: `region =`, new: `Region =`, want: `entry.toml:2: Region: unknown key`},
+		{name: "missing", old: `region = "north"`, want: `entry.toml: region: missing; want a string`},
+		{name: "wrong type", old: `"entry-1"`, new: `1`, want: `entry.toml:1: name: got 1; want a string`},
+		{name: "host name", old: `127.0.0.1:8081`, new: `localhost:8081`, want: `entry.toml:5: operator_address: got "localhost:8081"; want an IP address`},
+		{name: "port", old: `127.0.0.1:8081`, new: `127.0.0.1:65536`, want: `entry.toml:5: operator_address: got "127.0.0.1:65536"`},
+		{name: "same address", old: `127.0.0.1:8082`, new: `127.0.0.1:8081`, want: `metrics_address: got "127.0.0.1:8081", which is also operator_address`},
+		{name: "URL", old: `http:`, new: `ftp:`, want: `entry.toml:8: platform_address: got "ftp://127.0.0.1:7000"`},
+		{name: "no CA", old: `["ca.pem"]`, new: `[]`, want: `entry.toml:11: ca_files: got []; want a list of 1 to 2`},
+		{name: "below bounds", new: `drain_delay = "-1s"`, want: `entry.toml:13: drain_delay: got "-1s"; want a duration from "0s" to "1m0s"`},
+		{name: "no unit", new: `drain_delay = 1`, want: `drain_delay: got 1; want a duration`},
+		{name: "above bounds", new: `journal_body_limit = 524289`, want: `journal_body_limit: got 524289; want an integer from 1024 to 524288 bytes`},
+		{name: "relation", new: "silence_timeout = \"1s\"", want: `silence_timeout: got 1s; want more than health_interval, 1s`},
+		{name: "peer", new: `contact_peers = ["127.0.0.1:1", "peer"]`, want: `contact_peers: got [127.0.0.1:1 peer]; want a list of 0 to 64`},
+		{name: "table", new: "[extra]\na = 1", want: `entry.toml:13: extra: unknown key`},
+		{name: "syntax", old: `region =`, new: `region ==`, want: `entry.toml:2: `},
+		{name: "key twice", new: `name = "entry-2"`, want: `entry.toml:13: `},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			text := valid + tc.new
+			if tc.old != "" {
+				text = strings.Replace(valid, tc.old, tc.new, 1)
+			}
+			s, err := Parse("entry.toml", text)
+			var problems Problems
+			if !errors.As(err, &problems) || !strings.Contains(err.Error(), tc.want) {
+				t.Errorf("got %v, want %q", err, tc.want)
+			}
+			if s.Name != "" {
+				t.Error("settings came with an error")
+			}
+		})
+	}
+}
+
+// Guards against an operator key in an error when it was written in place of its hash.
+func TestOperatorKeyIsNotShown(t *testing.T) {
+	_, err := Parse("entry.toml", strings.Replace(valid, strings.Repeat("0", 64), "sesame", 1))
+	if err == nil || strings.Contains(err.Error(), "sesame") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Guards against reports of the first problem only.
+func TestAllProblemsAreReported(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		lines := strings.Split(strings.TrimSpace(valid), "\n")
+		broken := 0
+		for i, line := range lines {
+			if rapid.Bool().Draw(rt, line) {
+				key, _, _ := strings.Cut(line, " ")
+				lines[i] = key + " = 1.5"
+				broken++
+			}
+		}
+		_, err := Parse("entry.toml", strings.Join(lines, "\n"))
+		var problems Problems
+		errors.As(err, &problems)
+		if len(problems) != broken {
+			rt.Errorf("%d problems, want %d: %v", len(problems), broken, err)
+		}
+	})
+}
+
+// Guards against a start without the files that the settings name.
+func TestLoadReadsTheNamedFiles(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "entry.toml")
+	if err := os.WriteFile(path, []byte(valid), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Load(path)
+	for _, want := range []string{":9: certificate_file: ", ":11: ca_files: "} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
+
+// Guards against rows of the table that no file can satisfy.
+func TestTable(t *testing.T) {
+	seen := map[string]bool{}
+	for _, k := range Table() {
+		if seen[k.Name] || k.Help == "" || k.want() == "" {
+			t.Errorf("%s: occurs twice or lacks a text", k.Name)
+		}
+		seen[k.Name] = true
+		if k.Default != nil && k.set(&Settings{}, k.Default) != nil {
+			t.Errorf("%s: default %v is refused", k.Name, k.Default)
+		}
+		if !strings.Contains(Reference(), "| `"+k.Name+"` |") {
+			t.Errorf("%s: not in the reference", k.Name)
+		}
+	}
+}
+
+// Guards against panics, and against settings that come with an error.
+func FuzzParse(f *testing.F) {
+	f.Add(valid)
+	f.Add("name = 1\n[a]\nb = '''\nc = 1'''")
+	f.Add("ca_files = [1, \"\"]\ndrain_delay = \"1e9s\"")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse("entry.toml", text)
+		if err != nil && s.Name != "" {
+			t.Errorf("settings %+v came with %v", s, err)
+		}
+	})
+}
