Add the operator API of the settings tree

Cause: operators could not read or change the tree over the network.

Change: a handler for get, list, put with compare-and-swap, a change of several documents, watch by long poll, history, and issuing and withdrawing keys. A change is answered with in_force, or after 4 s with stored and the names of the members that are missing. Bodies are bounded, JSON is decoded strictly, the operator key is compared in constant time before anything else. Key requests are repeated on the new version when another operator was faster, and a repeated request changes nothing. View.Await wakes the watch.

Ruled out: keys generated by the entry daemon, because a lost answer would lose the secret; the client generates it and sends the hash. A failing read before a get or list, because the tree must stay readable during an outage of the key-value service; the list states the age instead.

--- /dev/null
+++ b/internal/server/operator.go
@@ -0,0 +1,484 @@
+// Package server is the HTTP side of an entry daemon.
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/comfreyford/comfreyford/pkg/authenticator"
+	"github.com/comfreyford/comfreyford/pkg/configurer"
+)
+
+const (
+	// OperatorKeyHeader carries the key of operators.
+	OperatorKeyHeader = "Comfreyford-Operator-Key"
+	// InForceTimeout bounds the wait for a stored change to be in force.
+	InForceTimeout = 4 * time.Second
+	// MaxWatchWait bounds one long poll.
+	MaxWatchWait = 60 * time.Second
+
+	inForcePollInterval = 50 * time.Millisecond
+	refreshTimeout      = time.Second
+	maxWatches          = 256
+	maxKeyAttempts      = 16
+)
+
+// ChangeState tells how far a change has come.
+type ChangeState string
+
+// The states of an accepted change.
+const (
+	ChangeStored  ChangeState = "stored"   // the head holds it
+	ChangeInForce ChangeState = "in_force" // no member uses an older revision
+)
+
+// Members tells which members may still use an older configuration.
+type Members interface {
+	// Missing returns the names of the members that have neither confirmed the
+	// revision nor lost the right to use an older one.
+	Missing(revision uint64) []string
+}
+
+// OperatorConfig configures an Operator.
+type OperatorConfig struct {
+	Committer      *configurer.Committer
+	Members        Members
+	KeySHA256      [sha256.Size]byte
+	BodyLimitBytes int64
+	Log            hclog.Logger // nil: no log
+}
+
+// Operator serves the operator API.
+type Operator struct {
+	cfg     OperatorConfig
+	mux     *http.ServeMux
+	watches atomic.Int64
+}
+
+// Listing is the answer to a list request.
+type Listing struct {
+	Revision  uint64                `json:"revision"`
+	AgeMS     int64                 `json:"age_ms"` // age of the knowledge of the head; -1: never read
+	Documents []configurer.Document `json:"documents"`
+}
+
+// History is the answer to a history or watch request.
+type History struct {
+	Revision uint64             `json:"revision"`
+	Changes  []configurer.Entry `json:"changes"` // newest first
+}
+
+// PutRequest replaces, creates or removes one document.
+type PutRequest struct {
+	ChangeID string `json:"change_id"`
+	Author   string `json:"author"`
+	Expected string `json:"expected"`
+	Text     string `json:"text"`
+	Remove   bool   `json:"remove"`
+}
+
+// KeyRequest issues or withdraws a key. The secret stays with the client.
+type KeyRequest struct {
+	ChangeID string `json:"change_id"`
+	Author   string `json:"author"`
+	KeyID    string `json:"key_id"`
+	Team     string `json:"team,omitempty"`   // issue only
+	SHA256   string `json:"sha256,omitempty"` // issue only
+}
+
+// ChangeAnswer is the answer to an accepted change.
+type ChangeAnswer struct {
+	ChangeID string      `json:"change_id"`
+	Revision uint64      `json:"revision"`
+	State    ChangeState `json:"state"`
+	Missing  []string    `json:"missing,omitempty"` // members that prevent in_force
+}
+
+// ErrorAnswer is the answer to a refused or failed request.
+type ErrorAnswer struct {
+	Reason    string                `json:"reason"`
+	Detail    string                `json:"detail"`
+	Problems  []configurer.Problem  `json:"problems,omitempty"`
+	Conflicts []configurer.Mismatch `json:"conflicts,omitempty"`
+}
+
+// NewOperator returns the handler of the operator API.
+func NewOperator(cfg OperatorConfig) *Operator {
+	if cfg.Log == nil {
+		cfg.Log = hclog.NewNullLogger()
+	}
+	o := &Operator{
+		cfg: cfg,
+		mux: http.NewServeMux(),
+	}
+	o.mux.HandleFunc("GET /v1/settings/documents", o.list)
+	o.mux.HandleFunc("GET /v1/settings/documents/{path...}", o.get)
+	o.mux.HandleFunc("PUT /v1/settings/documents/{path...}", o.put)
+	o.mux.HandleFunc("POST /v1/settings/changes", o.apply)
+	o.mux.HandleFunc("GET /v1/settings/watch", o.watch)
+	o.mux.HandleFunc("GET /v1/settings/history", o.history)
+	o.mux.HandleFunc("POST /v1/settings/keys/issue", o.issueKey)
+	o.mux.HandleFunc("POST /v1/settings/keys/withdraw", o.withdrawKey)
+	return o
+}
+
+// ServeHTTP implements http.Handler.
+func (o *Operator) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !authenticator.NewSecret(r.Header.Get(OperatorKeyHeader)).Matches(o.cfg.KeySHA256) {
+		refuse(w, http.StatusUnauthorized, "unauthorized", "want the operator key in "+OperatorKeyHeader)
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, o.cfg.BodyLimitBytes)
+	o.mux.ServeHTTP(w, r)
+}
+
+// refresh brings the view up to date. Without the key-value service the answer
+// comes from the present view and states its age.
+func (o *Operator) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if err := o.cfg.Committer.View.Refresh(ctx, o.cfg.Committer.Store); err != nil && !errors.Is(err, configurer.ErrOlderRevision) {
+		o.cfg.Log.Warn("head not read", "error", err)
+	}
+}
+
+func (o *Operator) list(w http.ResponseWriter, r *http.Request) {
+	o.refresh(r.Context())
+	prefix := r.URL.Query().Get("prefix")
+	revision, docs := o.cfg.Committer.View.Documents()
+	docs = slices.DeleteFunc(docs, func(d configurer.Document) bool { return !strings.HasPrefix(d.Path, prefix) })
+	age := int64(-1)
+	if d, ok := o.cfg.Committer.View.Current().Age(time.Now()); ok {
+		age = d.Milliseconds()
+	}
+	answer(w, http.StatusOK, Listing{
+		Revision:  revision,
+		AgeMS:     age,
+		Documents: docs,
+	})
+}
+
+func (o *Operator) get(w http.ResponseWriter, r *http.Request) {
+	path := r.PathValue("path")
+	if version := r.URL.Query().Get("version"); version != "" {
+		text, err := o.cfg.Committer.Version(r.Context(), path, version)
+		if err != nil {
+			o.fail(w, err)
+			return
+		}
+		answer(w, http.StatusOK, configurer.Document{
+			Path:    path,
+			Version: version,
+			Text:    text,
+		})
+		return
+	}
+	o.refresh(r.Context())
+	doc, err := o.cfg.Committer.View.Document(path)
+	if err != nil {
+		o.fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, doc)
+}
+
+func (o *Operator) put(w http.ResponseWriter, r *http.Request) {
+	var req PutRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	o.commit(w, r, configurer.Change{
+		ID:     req.ChangeID,
+		Author: req.Author,
+		Edits: []configurer.Edit{{
+			Path:     r.PathValue("path"),
+			Expected: req.Expected,
+			Text:     req.Text,
+			Remove:   req.Remove,
+		}},
+	})
+}
+
+func (o *Operator) apply(w http.ResponseWriter, r *http.Request) {
+	var change configurer.Change
+	if !decode(w, r, &change) {
+		return
+	}
+	o.commit(w, r, change)
+}
+
+func (o *Operator) commit(w http.ResponseWriter, r *http.Request, change configurer.Change) {
+	revision, err := o.cfg.Committer.Commit(r.Context(), change)
+	if err != nil {
+		o.fail(w, err)
+		return
+	}
+	o.accepted(w, r, change.ID, revision)
+}
+
+// accepted waits until the revision is in force and answers.
+func (o *Operator) accepted(w http.ResponseWriter, r *http.Request, id string, revision uint64) {
+	o.cfg.Log.Info("change stored", "id", id, "revision", revision)
+	a := ChangeAnswer{
+		ChangeID: id,
+		Revision: revision,
+		State:    ChangeInForce,
+		Missing:  o.awaitInForce(r.Context(), revision),
+	}
+	if len(a.Missing) > 0 {
+		a.State = ChangeStored
+		answer(w, http.StatusAccepted, a)
+		return
+	}
+	answer(w, http.StatusOK, a)
+}
+
+// awaitInForce returns the members that are still missing after InForceTimeout.
+func (o *Operator) awaitInForce(ctx context.Context, revision uint64) []string {
+	deadline := time.After(InForceTimeout)
+	for {
+		missing := o.cfg.Members.Missing(revision)
+		if len(missing) == 0 {
+			return nil
+		}
+		select {
+		case <-time.After(inForcePollInterval):
+		case <-deadline:
+			return missing
+		case <-ctx.Done():
+			return missing
+		}
+	}
+}
+
+// watch answers when the revision is greater than that of the caller, or after wait.
+func (o *Operator) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	revision, err := strconv.ParseUint(query.Get("revision"), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad_request", fmt.Sprintf("revision: got %q; want an integer from 0", query.Get("revision")))
+		return
+	}
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil || wait < 0 || wait > MaxWatchWait {
+		refuse(w, http.StatusBadRequest, "bad_request", fmt.Sprintf("wait: got %q; want a duration from 0s to %v", query.Get("wait"), MaxWatchWait))
+		return
+	}
+	if o.watches.Add(1) > maxWatches {
+		o.watches.Add(-1)
+		refuse(w, http.StatusServiceUnavailable, "too_many_watches", fmt.Sprintf("%d watches are waiting", maxWatches))
+		return
+	}
+	defer o.watches.Add(-1)
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	// The error only says that the time has passed; the answer shows the unchanged revision.
+	state, _ := o.cfg.Committer.View.Await(ctx, revision)
+	changes := o.cfg.Committer.View.History("")
+	changes = slices.DeleteFunc(changes, func(e configurer.Entry) bool {
+		return e.Revision <= revision || e.Revision > state.Tree.Revision
+	})
+	answer(w, http.StatusOK, History{
+		Revision: state.Tree.Revision,
+		Changes:  changes,
+	})
+}
+
+func (o *Operator) history(w http.ResponseWriter, r *http.Request) {
+	o.refresh(r.Context())
+	answer(w, http.StatusOK, History{
+		Revision: o.cfg.Committer.View.Current().Tree.Revision,
+		Changes:  o.cfg.Committer.View.History(r.URL.Query().Get("path")),
+	})
+}
+
+// errApplied means that the tree already holds what a key request asks for.
+var errApplied = errors.New("already applied")
+
+func (o *Operator) issueKey(w http.ResponseWriter, r *http.Request) {
+	var req KeyRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	o.changeKey(w, r, req, func(*configurer.Tree) string { return req.Team }, func(t *configurer.Team) error {
+		key := configurer.Key{
+			ID:     req.KeyID,
+			SHA256: req.SHA256,
+		}
+		if slices.Contains(t.Keys, key) {
+			return errApplied
+		}
+		t.Keys = append(slices.Clone(t.Keys), key)
+		return nil
+	})
+}
+
+func (o *Operator) withdrawKey(w http.ResponseWriter, r *http.Request) {
+	var req KeyRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	holds := func(k configurer.Key) bool { return k.ID == req.KeyID }
+	owner := func(tree *configurer.Tree) string {
+		for name, team := range tree.Teams {
+			if slices.ContainsFunc(team.Keys, holds) {
+				return name
+			}
+		}
+		return ""
+	}
+	o.changeKey(w, r, req, owner, func(t *configurer.Team) error {
+		i := slices.IndexFunc(t.Keys, holds)
+		if i < 0 {
+			return configurer.ErrNotFound
+		}
+		if t.Keys[i].Withdrawn {
+			return errApplied
+		}
+		t.Keys = slices.Clone(t.Keys)
+		t.Keys[i].Withdrawn = true
+		return nil
+	})
+}
+
+// changeKey edits the document of one team, again when another operator was faster.
+func (o *Operator) changeKey(w http.ResponseWriter, r *http.Request, req KeyRequest, owner func(*configurer.Tree) string, edit func(*configurer.Team) error) {
+	ctx, cancel := context.WithTimeout(r.Context(), configurer.CommitTimeout)
+	defer cancel()
+	var revision uint64
+	var err error
+	for i := range maxKeyAttempts {
+		// Each attempt writes another text, and a change id stands for one text.
+		id := fmt.Sprintf("%s-%d", req.ChangeID, i)
+		revision, err = o.tryChangeKey(ctx, id, req.Author, owner, edit)
+		if !errors.Is(err, configurer.ErrConflict) && !errors.Is(err, configurer.ErrChangeIDReused) {
+			break
+		}
+	}
+	if err != nil {
+		o.fail(w, err)
+		return
+	}
+	o.accepted(w, r, req.ChangeID, revision)
+}
+
+func (o *Operator) tryChangeKey(ctx context.Context, id, author string, owner func(*configurer.Tree) string, edit func(*configurer.Team) error) (uint64, error) {
+	view := o.cfg.Committer.View
+	if err := view.Refresh(ctx, o.cfg.Committer.Store); err != nil && !errors.Is(err, configurer.ErrOlderRevision) {
+		return 0, fmt.Errorf("%w: %w", configurer.ErrNotStored, err)
+	}
+	tree := view.Current().Tree
+	path := configurer.KindTeams + "/" + owner(tree)
+	doc, err := view.Document(path)
+	if err != nil {
+		return 0, err
+	}
+	var team configurer.Team
+	// The document of the version that is expected below, not of a tree that was read before it.
+	if _, err := toml.Decode(doc.Text, &team); err != nil {
+		return 0, err
+	}
+	if err := edit(&team); errors.Is(err, errApplied) {
+		return doc.Revision, nil
+	} else if err != nil {
+		return 0, err
+	}
+	text, err := toml.Marshal(team)
+	if err != nil {
+		return 0, err
+	}
+	return o.cfg.Committer.Commit(ctx, configurer.Change{
+		ID:     id,
+		Author: author,
+		Edits: []configurer.Edit{{
+			Path:     path,
+			Expected: doc.Version,
+			Text:     string(text),
+		}},
+	})
+}
+
+// fail answers with the status and the reason of an error.
+func (o *Operator) fail(w http.ResponseWriter, err error) {
+	a := ErrorAnswer{Detail: err.Error()}
+	status := http.StatusInternalServerError
+	a.Reason = "internal"
+	for _, known := range []struct {
+		err    error
+		status int
+		reason string
+	}{
+		{configurer.ErrInvalid, http.StatusUnprocessableEntity, "invalid"},
+		{configurer.ErrConflict, http.StatusConflict, "conflict"},
+		{configurer.ErrChangeIDReused, http.StatusConflict, "change_id_reused"},
+		{configurer.ErrNotFound, http.StatusNotFound, "not_found"},
+		{configurer.ErrOutcomeUnknown, http.StatusGatewayTimeout, "outcome_unknown"},
+		{configurer.ErrNotStored, http.StatusServiceUnavailable, "not_stored"},
+	} {
+		if errors.Is(err, known.err) {
+			status, a.Reason = known.status, known.reason
+			break
+		}
+	}
+	var invalid *configurer.ValidationError
+	if errors.As(err, &invalid) {
+		a.Problems = invalid.Problems
+	}
+	var conflict *configurer.ConflictError
+	if errors.As(err, &conflict) {
+		a.Conflicts = conflict.Mismatches
+	}
+	if status >= http.StatusInternalServerError {
+		o.cfg.Log.Error("request failed", "reason", a.Reason, "error", err)
+	}
+	answer(w, status, a)
+}
+
+// decode reads a JSON body strictly. It answers and returns false when the body is refused.
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	if err == nil {
+		if _, err = d.Token(); errors.Is(err, io.EOF) {
+			return true
+		}
+		if err == nil {
+			err = errors.New("more than one JSON value")
+		}
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		refuse(w, http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("want at most %d bytes", large.Limit))
+		return false
+	}
+	refuse(w, http.StatusBadRequest, "bad_request", err.Error())
+	return false
+}
+
+func refuse(w http.ResponseWriter, status int, reason, detail string) {
+	answer(w, status, ErrorAnswer{
+		Reason: reason,
+		Detail: detail,
+	})
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An error means that the operator is gone.
+	_ = json.NewEncoder(w).Encode(v)
+}
