Bound the head, keep withdrawn keys, and let promises stop commits

Cause: 64 changes of 256 documents each grew the head beyond the 1 MB of a value, after which no change could be stored. A put could drop a withdrawn key or make it valid again. A key request dropped document keys that a newer release had written.

Change: the history ends early when it names more than 2,048 paths, and a tree has at most 2,048 documents. Commit refuses a team document that changes or forgets a withdrawn key. Committer.Gate is asked before each write of the head. Key requests refuse documents that this release does not fully know. A view that lacks more than 16 documents reads them by one list call. The settings command gives up a connection attempt after 3 s.

Ruled out: a bound on bytes of the head instead of paths, because peers must trim their copy of the history in the same way without encoding it.

Checked on a scratch copy: without the path bound, the trim of peers, the check of withdrawn keys, the gate or the check before key requests, a test fails each time.

--- a/internal/commander/settings.go
+++ b/internal/commander/settings.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -27,6 +28,7 @@
 
 	// A request takes up to 4 s to be stored and 4 s to be in force.
 	settingsRequestTimeout = 10 * time.Second
+	settingsDialTimeout    = 3 * time.Second
 	settingsTries          = 3
 	settingsRetryDelay     = 200 * time.Millisecond
 	maxAnswerBytes         = 64 << 20
@@ -116,7 +118,9 @@
 	if !operatorKeyPattern.Match(bytes.TrimSpace(key)) {
 		return nil, fmt.Errorf("--key-file: %s holds no key; want one line of 1 to 256 printable characters", cmd.String("key-file"))
 	}
-	transport := &http.Transport{}
+	transport := &http.Transport{
+		DialContext: (&net.Dialer{Timeout: settingsDialTimeout}).DialContext,
+	}
 	if path := cmd.String("ca-file"); path != "" {
 		pool, err := certificates(path)
 		if err != nil {
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -386,6 +386,10 @@
 	if err != nil {
 		return 0, err
 	}
+	// A document of the next release would lose the keys that this one does not know.
+	if err := configurer.CheckDocument(path, doc.Text); err != nil {
+		return 0, err
+	}
 	var team configurer.Team
 	// The document of the version that is expected below, not of a tree that was read before it.
 	if _, err := toml.Decode(doc.Text, &team); err != nil {
--- a/internal/server/operator_test.go
+++ b/internal/server/operator_test.go
@@ -233,3 +233,26 @@
 		t.Errorf("keys %+v", keys)
 	}
 }
+
+// Guards against a key request that drops what the next release wrote into the team.
+func TestKeyRequestKeepsUnknownKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOperator(storer.NewMemory(), memberList{})
+		if err := o.cfg.Committer.View.Apply(configurer.Delta{
+			Revision: 1,
+			Documents: []configurer.Document{{
+				Path:     "teams/a",
+				Version:  "change-1",
+				Revision: 1,
+				Text:     "weight = 1\nlimit = 1\nburst = 2\n",
+			}},
+		}, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		issue := fmt.Sprintf(`{"change_id": "change-2", "author": "ann", "key_id": "k123", "team": "a", "sha256": %q}`, strings.Repeat("0", 64))
+		var refused ErrorAnswer
+		if status := call(t, o, http.MethodPost, "keys/issue", issue, &refused); status != http.StatusUnprocessableEntity {
+			t.Errorf("status %d, %+v", status, refused)
+		}
+	})
+}
--- a/pkg/configurer/commit.go
+++ b/pkg/configurer/commit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"time"
 
@@ -26,6 +27,10 @@
 type Committer struct {
 	Store storer.Store
 	View  *View // is brought up to date by each commit
+	// Gate is asked before each write of the head, and done is called when the write has
+	// its answer. Its error stops the write. It lets an entry daemon keep a promise to
+	// commit no change. Nil: always open.
+	Gate func() (done func(), err error)
 }
 
 // attempt is the commit of one change.
@@ -127,6 +132,7 @@
 // checkOn compares the expected versions and validates the tree after the change.
 func (a *attempt) checkOn(h head, docs map[string]loaded) error {
 	conflict := &ConflictError{}
+	var problems []Problem
 	after := maps.Clone(docs)
 	if after == nil {
 		after = map[string]loaded{}
@@ -144,12 +150,20 @@
 			continue
 		}
 		value, _ := parseDocument(e.Path, e.Text, true) // has no problems: checked by Commit
+		problems = append(problems, checkWithdrawn(e.Path, docs[e.Path].value, value)...)
 		after[e.Path] = loaded{value: value}
 	}
 	if len(conflict.Mismatches) > 0 {
 		return Error.Wrap(conflict)
 	}
-	return invalid(checkReferences(buildTree(h.Revision+1, after)))
+	if len(after) > MaxDocuments {
+		problems = append(problems, Problem{
+			Path: "tree",
+			Got:  fmt.Sprintf("%d documents", len(after)),
+			Want: fmt.Sprintf("at most %d", MaxDocuments),
+		})
+	}
+	return invalid(append(problems, checkReferences(buildTree(h.Revision+1, after))...))
 }
 
 // writeDocuments creates the documents of the change. It may be repeated.
@@ -186,6 +200,13 @@
 	if err != nil {
 		return 0, true, Error.Wrap(err)
 	}
+	if a.Gate != nil {
+		done, err := a.Gate()
+		if err != nil {
+			return 0, false, err
+		}
+		defer done()
+	}
 	_, err = a.Store.CompareAndSwap(ctx, storer.Write{
 		Key:      headKey,
 		Value:    value,
--- a/pkg/configurer/commit_test.go
+++ b/pkg/configurer/commit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -337,6 +338,54 @@
 	}
 }
 
+// Guards against a withdrawn key that works again.
+func TestWithdrawnKeysStayWithdrawn(t *testing.T) {
+	keyText := func(id, hash string, withdrawn bool) string {
+		return teamText(1) + fmt.Sprintf("keys = [{id = %q, sha256 = %q, withdrawn = %t}]\n", id, strings.Repeat(hash, 64), withdrawn)
+	}
+	for _, text := range []string{teamText(1), keyText("k123", "0", false), keyText("k123", "1", true), keyText("k124", "0", true)} {
+		c := newCommitter(storer.NewMemory())
+		mustCommit(t, c, put("change-1", "teams/a", "", keyText("k123", "0", true)))
+		if _, err := c.Commit(t.Context(), put("change-2", "teams/a", "change-1", text)); !errors.Is(err, ErrInvalid) {
+			t.Errorf("%s: got %v, want %v", text, err, ErrInvalid)
+		}
+	}
+}
+
+// Guards against a change that is written during a promise to commit none.
+func TestClosedGateStopsTheHeadWrite(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		opens time.Duration
+		want  error
+	}{
+		{name: "opens in time", opens: time.Second},
+		{name: "stays closed", opens: time.Hour, want: ErrNotStored},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begin := time.Now()
+				c := newCommitter(storer.NewMemory())
+				open := 0
+				c.Gate = func() (func(), error) {
+					if time.Since(begin) < tc.opens {
+						return nil, errors.New("promised")
+					}
+					open++
+					return func() { open-- }, nil
+				}
+				_, err := c.Commit(t.Context(), put("change-1", "teams/a", "", teamText(1)))
+				if !errors.Is(err, tc.want) || (err == nil) != (tc.want == nil) || open != 0 {
+					t.Errorf("got %v, want %v; %d writes open", err, tc.want, open)
+				}
+				if took := time.Since(begin); err == nil && took < tc.opens {
+					t.Errorf("stored after %v", took)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a change that is applied in part.
 func TestChangeOfSeveralDocumentsIsAtomic(t *testing.T) {
 	c := newCommitter(storer.NewMemory())
@@ -373,3 +422,37 @@
 		t.Errorf("revision %d, want 1", revision)
 	}
 }
+
+// Guards against large changes that fill the head until no further change fits,
+// and against a tree that a new process cannot load.
+func TestLargeChangesLeaveRoomInTheHead(t *testing.T) {
+	store := storer.NewMemory()
+	c := newCommitter(store)
+	version := ""
+	for i := range HistoryRevisions {
+		change := Change{
+			ID:     fmt.Sprintf("change-%057d", i),
+			Author: "test",
+		}
+		for j := range MaxEdits {
+			change.Edits = append(change.Edits, Edit{
+				Path:     fmt.Sprintf("teams/%063d", j),
+				Expected: version,
+				Text:     teamText(i + 1),
+			})
+		}
+		mustCommit(t, c, change)
+		version = change.ID
+	}
+	late := NewView(nil)
+	if err := late.Refresh(t.Context(), store); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(late.Current().Tree.Teams); n != MaxEdits {
+		t.Errorf("%d teams, want %d", n, MaxEdits)
+	}
+	entries, fresh := c.View.History(""), late.History("")
+	if len(entries) != maxHistoryPaths/MaxEdits || len(fresh) != len(entries) {
+		t.Errorf("histories of %d and %d changes", len(entries), len(fresh))
+	}
+}
--- a/pkg/configurer/head.go
+++ b/pkg/configurer/head.go
@@ -14,6 +14,12 @@
 
 	// HistoryRevisions is the number of changes that the head keeps.
 	HistoryRevisions = 64
+	// MaxDocuments bounds the documents of a tree.
+	MaxDocuments = 2048
+
+	// The head keeps fewer changes when they name more paths than this. Without the bound,
+	// large changes would grow the head beyond storer.MaxValueBytes and block all later ones.
+	maxHistoryPaths = 2048
 )
 
 // Ref is the place of a document in the head.
@@ -97,10 +103,23 @@
 			Revision: n.Revision,
 		}
 	}
-	recent := append(slices.Clone(h.Recent), entry)
-	drop := max(0, len(recent)-HistoryRevisions)
-	n.Recent = recent[drop:]
-	return n, recent[:drop]
+	var dropped []Entry
+	n.Recent, dropped = trim(append(slices.Clone(h.Recent), entry))
+	return n, dropped
+}
+
+// trim splits a history, oldest first, into what is kept and what leaves it.
+func trim(recent []Entry) (kept, dropped []Entry) {
+	paths := 0
+	first := len(recent)
+	for first > 0 && len(recent)-first < HistoryRevisions {
+		paths += len(recent[first-1].Paths)
+		if paths > maxHistoryPaths {
+			break
+		}
+		first--
+	}
+	return recent[first:], recent[:first]
 }
 
 func docKey(path, version string) string {
--- a/pkg/configurer/tree.go
+++ b/pkg/configurer/tree.go
@@ -85,3 +85,23 @@
 	}
 	return problems
 }
+
+// checkWithdrawn refuses a team document that brings a withdrawn key back or forgets it.
+// The id would otherwise become valid again, for whoever still holds the secret.
+func checkWithdrawn(path string, before, after any) []Problem {
+	old, _ := before.(Team)
+	team, _ := after.(Team)
+	var problems []Problem
+	for _, key := range old.Keys {
+		if !key.Withdrawn || slices.Contains(team.Keys, key) {
+			continue
+		}
+		problems = append(problems, Problem{
+			Path: path,
+			Key:  "keys",
+			Got:  fmt.Sprintf("withdrawn key %q is changed or missing", key.ID),
+			Want: "the key as it was, and a new key id to grant access again",
+		})
+	}
+	return problems
+}
--- a/pkg/configurer/view.go
+++ b/pkg/configurer/view.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -21,6 +20,8 @@
 	// RightLossTime is the time without proof of freshness after which others may count
 	// a member as no longer using an older revision: the limit, 1% clock drift and 500 ms.
 	RightLossTime = StalenessLimit + StalenessLimit/100 + 500*time.Millisecond
+
+	maxSingleReads = 16
 )
 
 var (
@@ -262,13 +263,13 @@
 	if err := invalid(problems); err != nil {
 		return nil, err
 	}
-	recent = append(recent, d.Recent...)
+	recent, _ = trim(append(recent, d.Recent...))
 	return &snapshot{
 		State:      State{Tree: buildTree(d.Revision, docs)},
 		docs:       docs,
 		learned:    time.Now(),
 		superseded: make(chan struct{}),
-		recent:     recent[max(0, len(recent)-HistoryRevisions):],
+		recent:     recent,
 	}, nil
 }
 
@@ -333,23 +334,23 @@
 	if h.Revision <= s.Tree.Revision {
 		return d, nil
 	}
+	var missing []string
 	for _, path := range slices.Sorted(maps.Keys(h.Documents)) {
-		ref := h.Documents[path]
-		if s.docs[path].Version == ref.Version {
-			continue
-		}
-		item, err := store.Get(ctx, docKey(path, ref.Version))
-		if err != nil {
-			return Delta{}, Error.Wrap(err)
-		}
-		if item.Version == 0 {
-			return Delta{}, Error.Wrap(fmt.Errorf("%s version %s: %w", path, ref.Version, ErrNotFound))
+		if s.docs[path].Version != h.Documents[path].Version {
+			missing = append(missing, path)
 		}
+	}
+	texts, err := readTexts(ctx, store, h, missing)
+	if err != nil {
+		return Delta{}, err
+	}
+	for _, path := range missing {
+		ref := h.Documents[path]
 		d.Documents = append(d.Documents, Document{
 			Path:     path,
 			Version:  ref.Version,
 			Revision: ref.Revision,
-			Text:     string(item.Value),
+			Text:     texts[path],
 		})
 	}
 	for path := range s.docs {
@@ -364,3 +365,34 @@
 	}
 	return d, nil
 }
+
+// readTexts reads documents of the head. Many are read by one list, because each call
+// counts towards the rates of the key-value service.
+func readTexts(ctx context.Context, store storer.Store, h head, paths []string) (map[string]string, error) {
+	items := map[string]storer.Item{}
+	if len(paths) > maxSingleReads {
+		list, err := store.List(ctx, docPrefix)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		for _, item := range list {
+			items[item.Key] = item
+		}
+	}
+	texts := map[string]string{}
+	for _, path := range paths {
+		key := docKey(path, h.Documents[path].Version)
+		item, ok := items[key]
+		if !ok {
+			var err error
+			if item, err = store.Get(ctx, key); err != nil {
+				return nil, Error.Wrap(err)
+			}
+		}
+		if item.Version == 0 {
+			return nil, Error.New("%s: %w", key, ErrNotFound)
+		}
+		texts[path] = string(item.Value)
+	}
+	return texts, nil
+}
--- a/pkg/configurer/view_test.go
+++ b/pkg/configurer/view_test.go
@@ -72,6 +72,42 @@
 	}
 }
 
+// Guards against a peer that reverts or mixes revisions when answers come late, twice or from two relays.
+func TestDeltasInAnyOrderNeverRevert(t *testing.T) {
+	c := newCommitter(storer.NewMemory())
+	trees := map[uint64]*Tree{0: c.View.Current().Tree}
+	var deltas []Delta
+	for i := range 12 {
+		path := fmt.Sprintf("teams/t%d", i%3)
+		doc, err := c.View.Document(path)
+		change := put(fmt.Sprintf("change-%d", i), path, doc.Version, teamText(i+1))
+		if err == nil && i%4 == 3 {
+			change.Edits[0].Remove = true
+			change.Edits[0].Text = ""
+		}
+		mustCommit(t, c, change)
+		tree := c.View.Current().Tree
+		trees[tree.Revision] = tree
+		for from := range tree.Revision {
+			deltas = append(deltas, c.View.Since(from, time.Now()))
+		}
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		peer := NewView(nil)
+		for _, i := range rapid.SliceOfN(rapid.IntRange(0, len(deltas)-1), 1, 40).Draw(rt, "deltas") {
+			before := peer.Current().Tree.Revision
+			err := peer.Apply(deltas[i], time.Now())
+			if err != nil && !errors.Is(err, ErrOlderRevision) && !errors.Is(err, ErrDeltaBase) {
+				rt.Fatal(err)
+			}
+			tree := peer.Current().Tree
+			if tree.Revision < before || !reflect.DeepEqual(tree, trees[tree.Revision]) {
+				rt.Fatalf("from revision %d to %+v", before, tree)
+			}
+		}
+	})
+}
+
 // Guards against a configuration that reverts or is built on the wrong base.
 func TestViewRefusesOtherRevisions(t *testing.T) {
 	c := newCommitter(storer.NewMemory())
