--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -19,6 +19,8 @@
 	return []*cli.Command{
 		platformCommand(),
 		workerCommand(),
+		checkCommand(),
+		settingsCommand(),
 		versionCommand(),
 	}
 }
