--- /dev/null
+++ b/pkg/journaler/commit.go
@@ -0,0 +1,256 @@
+package journaler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// run is the committer. Everything that arrives while it waits for the limiter
+// or for the store goes into the next commit.
+func (s *Shard) run() {
+	defer close(s.idle)
+	defer s.cancel()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for {
+		swept := false
+		select {
+		case <-s.wake:
+		case <-sweep.C:
+			if err := s.Verify(s.ctx); errors.Is(err, ErrOwnershipLost) {
+				s.shut(err)
+				return
+			}
+			swept = true
+		case <-s.ctx.Done():
+			s.shut(ErrClosed)
+			return
+		}
+		if !s.work(swept) {
+			return
+		}
+	}
+}
+
+// work commits what waits and deletes discarded keys, at most one between two
+// commits, so that neither starves the other. It returns false when the shard
+// is no longer owned here.
+func (s *Shard) work(swept bool) bool {
+	for {
+		pending, garbage, closed := s.load()
+		if closed {
+			return false
+		}
+		if !pending && !garbage && !swept {
+			return true
+		}
+		if pending || swept {
+			if err := s.commitOnce(); err != nil {
+				s.shut(err)
+				return false
+			}
+			swept = false
+		}
+		if garbage && s.ctx.Err() == nil {
+			if !s.deleteOne(s.ctx) && !pending {
+				return true
+			}
+			swept = s.dropsDue()
+		}
+	}
+}
+
+func (s *Shard) load() (pending, garbage, closed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.starts)+len(s.cancels) > 0, len(s.garbage) > 0, s.closed != nil
+}
+
+// dropsDue reports that all keys of expired records are deleted.
+func (s *Shard) dropsDue() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.dropping) > 0 && len(s.dropping) == len(s.deleted)
+}
+
+// commitOnce writes all waiting transitions with one compare-and-swap. Its
+// error means that the shard is lost.
+func (s *Shard) commitOnce() error {
+	s.mu.Lock()
+	starts, cancels := len(s.starts), len(s.cancels)
+	s.mu.Unlock()
+	if starts+cancels > 0 {
+		if err := s.cfg.Limiter.Wait(s.ctx); err != nil {
+			return ErrClosed
+		}
+	}
+	batch := s.take()
+	now := s.cfg.Now()
+	next := s.doc.Clone()
+	s.expire(next, now)
+	written := len(next.Records) != len(s.doc.Records)
+	for _, c := range batch {
+		c.err = c.apply(next, now)
+		written = written || c.err == nil
+	}
+	if !written {
+		answer(batch, nil)
+		return nil
+	}
+	next.Commit.Seq++
+	version, err := s.swap(s.ctx, next, s.version)
+	if err == nil {
+		s.publish(next, version)
+	}
+	answer(batch, err)
+	if err != nil && (EffectOf(err) != EffectNone || errors.Is(err, ErrOwnershipLost)) {
+		return ErrOwnershipLost
+	}
+	return nil
+}
+
+// take removes the next batch from the queues.
+func (s *Shard) take() []*change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	starts := min(len(s.starts), maxBatch-min(len(s.cancels), maxBatch/2))
+	cancels := min(len(s.cancels), maxBatch-starts)
+	batch := make([]*change, 0, starts+cancels)
+	batch = append(batch, s.starts[:starts]...)
+	batch = append(batch, s.cancels[:cancels]...)
+	s.starts = s.starts[starts:]
+	s.cancels = s.cancels[cancels:]
+	return batch
+}
+
+// answer tells each caller its own error, or that of the commit.
+func answer(batch []*change, commit error) {
+	for _, c := range batch {
+		if commit == nil || c.err == nil {
+			c.done <- firstError(commit, c.err)
+			continue
+		}
+		// The rule was checked on a document that was not committed.
+		c.done <- notApplied(commit)
+	}
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Shard) publish(next *Document, version storer.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doc = next
+	s.version = version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire drops expired records and queues the deletion of the keys of those
+// that still have some.
+func (s *Shard) expire(next *Document, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pending := next.Expire(now, s.deleted)
+	for _, key := range pending {
+		if !s.dropping[key] {
+			s.dropping[key] = true
+			s.garbage = append(s.garbage, key)
+		}
+	}
+	if len(pending) == 0 && len(s.garbage) == 0 {
+		clear(s.dropping)
+		clear(s.deleted)
+	}
+}
+
+// swap writes the document and resolves a lost answer. A nil error means that
+// the write took effect; any other error is a *CommitError.
+func (s *Shard) swap(ctx context.Context, next *Document, expected storer.Version) (storer.Version, error) {
+	data, err := s.codec.encode(next)
+	if err != nil {
+		return 0, notApplied(err)
+	}
+	version, err := s.write(ctx, data, expected)
+	switch {
+	case err == nil:
+		return version, nil
+	case errors.Is(err, storer.ErrConflict):
+		return 0, notApplied(ErrOwnershipLost)
+	case isDefinite(err):
+		return 0, notApplied(fmt.Errorf("%w: %w", ErrUnavailable, err))
+	}
+	return s.resolve(ctx, next.Commit, data, expected)
+}
+
+// resolve finds out whether a write whose answer was lost took effect. While
+// the version is unchanged the write may still arrive, so the same value is
+// written again: one of the two takes effect, and the commit id tells.
+func (s *Shard) resolve(ctx context.Context, commit Commit, data []byte, expected storer.Version) (storer.Version, error) {
+	for {
+		item, err := s.read(ctx)
+		if err == nil && item.Version != expected {
+			return s.judge(item, commit)
+		}
+		if err == nil && s.cfg.Limiter.Wait(ctx) == nil {
+			version, err := s.write(ctx, data, expected)
+			if err == nil {
+				return version, nil
+			}
+			if errors.Is(err, storer.ErrConflict) {
+				continue
+			}
+		}
+		if err := sleep(ctx, s.cfg.RetryDelay); err != nil {
+			return 0, &CommitError{
+				Effect: EffectUnknown,
+				Err:    err,
+			}
+		}
+	}
+}
+
+// judge reads from a changed document whether it includes the commit.
+func (s *Shard) judge(item storer.Item, commit Commit) (storer.Version, error) {
+	doc, err := s.codec.decode(item.Value)
+	if err != nil {
+		return 0, &CommitError{
+			Effect: EffectUnknown,
+			Err:    err,
+		}
+	}
+	if doc.Commit == commit {
+		return item.Version, nil
+	}
+	return 0, &CommitError{
+		Effect: doc.Includes(commit),
+		Err:    ErrOwnershipLost,
+	}
+}
+
+func (s *Shard) write(ctx context.Context, data []byte, expected storer.Version) (storer.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
+	return s.cfg.Store.CompareAndSwap(ctx, storer.Write{
+		Key:      ShardKey(s.cfg.Shard),
+		Value:    data,
+		Expected: expected,
+	})
+}
+
+func (s *Shard) read(ctx context.Context) (storer.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
+	return s.cfg.Store.Get(ctx, ShardKey(s.cfg.Shard))
+}
--- /dev/null
+++ b/pkg/journaler/errors.go
@@ -0,0 +1,111 @@
+// Package journaler keeps the durable record of deferrable work and of
+// non-idempotent requests.
+//
+// Records live in shard documents that are changed by compare-and-swap only.
+// Two owners of one shard are harmless: the write of the owner that read the
+// older version fails. A non-idempotent request is started only after its
+// record says so, and a record that says so is never started a second time
+// unless the worker has proved that the task did not run.
+package journaler
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("journaler")
+
+var (
+	// ErrNotFound means that the shard has no record of the identity.
+	ErrNotFound = errors.New("identity not found")
+	// ErrExists means that the shard already has a record of the identity.
+	ErrExists = errors.New("identity exists")
+	// ErrIllegal means that the record's state does not allow the transition.
+	ErrIllegal = errors.New("transition not allowed")
+	// ErrWrongTask means that the transition names an attempt that is not the current one.
+	ErrWrongTask = errors.New("not the current task")
+	// ErrFull means that the shard document has no room; nothing was run.
+	ErrFull = errors.New("shard full")
+	// ErrFieldTooLong means that a field exceeds its bound; nothing was run.
+	ErrFieldTooLong = errors.New("field too long")
+	// ErrBodyTooLarge means that a request body exceeds MaxBlobBytes; nothing was run.
+	ErrBodyTooLarge = errors.New("body too large")
+	// ErrVersion means that the document is of a release too far from this one.
+	ErrVersion = errors.New("unsupported document version")
+	// ErrCorrupt means that a stored document, body or result is damaged or missing.
+	ErrCorrupt = errors.New("corrupt journal data")
+	// ErrOwnershipLost means that another owner has taken the shard.
+	ErrOwnershipLost = errors.New("shard owned elsewhere")
+	// ErrClosed means that the shard was handed over or is not owned here.
+	ErrClosed = errors.New("shard not owned here")
+	// ErrUnavailable means that the key-value service did not take the write.
+	ErrUnavailable = errors.New("journal unavailable")
+	// ErrBadIdentity means that the identity is no UUIDv7 or lies in the future; nothing was run.
+	ErrBadIdentity = errors.New("bad identity")
+	// ErrIdentityExpired means that the identity is too old to tell whether it has run.
+	ErrIdentityExpired = errors.New("identity expired")
+	// ErrIdentityReused means that the identity belongs to another request; this one was not run.
+	ErrIdentityReused = errors.New("identity used for another request")
+	// ErrWrongTeam means that the record belongs to another team.
+	ErrWrongTeam = errors.New("record of another team")
+	// ErrNotKept means that the record has no kept result.
+	ErrNotKept = errors.New("result not kept")
+	// ErrNeverRuns is returned by a Dispatcher for a job that no target can ever run.
+	ErrNeverRuns = errors.New("job can never run")
+)
+
+// Effect tells whether a transition took effect.
+type Effect string
+
+// The values of Effect.
+const (
+	EffectNone    Effect = "not_applied"
+	EffectApplied Effect = "applied"
+	EffectUnknown Effect = "unknown"
+)
+
+// CommitError is the error of a transition that was not answered by a plain commit.
+type CommitError struct {
+	Effect Effect
+	Err    error
+}
+
+// Error implements error.
+func (e *CommitError) Error() string {
+	return fmt.Sprintf("journaler: commit %s: %v", e.Effect, e.Err)
+}
+
+// Unwrap returns the reason.
+func (e *CommitError) Unwrap() error { return e.Err }
+
+// EffectOf returns the effect that an error of a transition states. Errors of
+// the transition rules themselves mean that nothing was written.
+func EffectOf(err error) Effect {
+	if err == nil {
+		return EffectApplied
+	}
+	var c *CommitError
+	if errors.As(err, &c) {
+		return c.Effect
+	}
+	return EffectNone
+}
+
+// StateError is an illegal transition.
+type StateError struct {
+	Identity   uuid.UUID
+	Transition string
+	State      State
+}
+
+// Error implements error.
+func (e *StateError) Error() string {
+	return fmt.Sprintf("journaler: %s of %s in state %s: %v", e.Transition, e.Identity, e.State, ErrIllegal)
+}
+
+// Unwrap returns ErrIllegal.
+func (e *StateError) Unwrap() error { return ErrIllegal }
--- /dev/null
+++ b/pkg/journaler/harness_test.go
@@ -0,0 +1,379 @@
+package journaler
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/comfreyford/comfreyford/pkg/runner"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// gate stops everything that one owner sends and receives. Calls that wait at
+// it go through when it opens, like packets of a paused process.
+type gate struct {
+	mu     sync.Mutex
+	closed chan struct{} // nil: open
+}
+
+func (g *gate) set(paused bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if paused && g.closed == nil {
+		g.closed = make(chan struct{})
+	}
+	if !paused && g.closed != nil {
+		close(g.closed)
+		g.closed = nil
+	}
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	closed := g.closed
+	g.mu.Unlock()
+	if closed != nil {
+		<-closed
+	}
+}
+
+// world is one store, one worker and some owners.
+type world struct {
+	t      testing.TB
+	store  *observed
+	worker *worker
+	owners []*owner
+	mu     sync.Mutex
+	claims map[uuid.UUID]int // submissions that may have been accepted
+	fresh  map[uuid.UUID]bool
+	wg     sync.WaitGroup
+}
+
+// owner is one entry daemon.
+type owner struct {
+	gate
+	w       *world
+	name    string
+	j       *Journal
+	mu      sync.Mutex
+	down    bool
+	lost    int // answers to lose
+	calls   int
+	crashAt int    // pauses for good at this call, counted before and after each call; zero: never
+	crashOn string // counts only calls for this shard and for bodies and results
+}
+
+func newWorld(t testing.TB, owners int) *world {
+	w := &world{
+		t:      t,
+		store:  &observed{Store: storer.NewMemory(), t: t, codec: mustCodec(t), docs: map[string]*Document{}},
+		worker: newWorker(),
+		claims: map[uuid.UUID]int{},
+		fresh:  map[uuid.UUID]bool{},
+	}
+	for n := range owners {
+		o := &owner{w: w, name: string(rune('a' + n))}
+		target := &gated{worker: w.worker, gate: &o.gate}
+		o.j = New(Config{
+			Store:      &storer.Faulty{Store: w.store, Before: o.before, After: o.after},
+			Entry:      o.name,
+			Limiter:    &Pacer{},
+			Targets:    func(string) (runner.Target, error) { return target, nil },
+			Dispatcher: placer{target: target},
+		})
+		w.owners = append(w.owners, o)
+	}
+	return w
+}
+
+func (o *owner) step(key string) error {
+	o.mu.Lock()
+	if key == o.crashOn || strings.Count(key, "/") > 1 {
+		o.calls++
+		if o.calls == o.crashAt {
+			o.set(true)
+		}
+	}
+	down := o.down
+	o.mu.Unlock()
+	o.pass()
+	if down {
+		return storer.ErrUnavailable
+	}
+	return nil
+}
+
+func (o *owner) before(_ context.Context, _ storer.Op, key string) error { return o.step(key) }
+
+func (o *owner) after(_ context.Context, op storer.Op, key string) error {
+	_ = o.step(key)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.lost > 0 && op == storer.OpCompareAndSwap {
+		o.lost--
+		return storer.ErrOutcomeUnknown
+	}
+	return nil
+}
+
+// observed checks every committed document against the one before.
+type observed struct {
+	storer.Store
+	t     testing.TB
+	codec *codec
+	mu    sync.Mutex
+	docs  map[string]*Document
+}
+
+// CompareAndSwap ignores the end of ctx: what a paused process has sent arrives.
+func (o *observed) CompareAndSwap(ctx context.Context, w storer.Write) (storer.Version, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	v, err := o.Store.CompareAndSwap(context.WithoutCancel(ctx), w)
+	if err != nil || strings.Count(w.Key, "/") > 1 {
+		return v, err
+	}
+	doc, err := o.codec.decode(w.Value)
+	if err != nil {
+		return v, err
+	}
+	if old := o.docs[w.Key]; old != nil {
+		for id, r := range old.Records {
+			if now, ok := doc.Records[id]; r.State.Final() && ok && now.State != r.State {
+				o.t.Errorf("%s ended twice: %s, then %s", id, r.State, now.State)
+			}
+		}
+	}
+	o.docs[w.Key] = doc
+	return v, nil
+}
+
+// worker is a fake target that counts the runs of each identity.
+type worker struct {
+	mu       sync.Mutex
+	boot     int
+	sessions map[string]time.Time // end of the session
+	revoked  map[string]bool
+	tasks    map[string]*task
+	runs     map[string]int
+	broken   int // answers that end too early
+	away     bool
+	status   int
+}
+
+type task struct {
+	session string
+	state   runner.State
+	done    chan struct{}
+	data    []byte
+}
+
+var errAway = errors.New("no answer")
+
+func newWorker() *worker {
+	w := &worker{runs: map[string]int{}, status: 200}
+	w.restart()
+	return w
+}
+
+func (w *worker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.boot++
+	for _, tk := range w.tasks {
+		if tk.state == runner.StateRunning {
+			tk.state = runner.StateStopped
+			close(tk.done)
+		}
+	}
+	w.sessions, w.revoked, w.tasks = map[string]time.Time{}, map[string]bool{}, map[string]*task{}
+}
+
+func (w *worker) open(id string, ttl time.Duration) (string, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.away {
+		return "", errAway
+	}
+	if end, ok := w.sessions[id]; w.revoked[id] || (ok && time.Now().After(end)) {
+		return "", runner.ErrSessionEnded
+	}
+	w.sessions[id] = time.Now().Add(ttl)
+	return fmt.Sprint(w.boot), nil
+}
+
+func (w *worker) start(t runner.Task, body []byte) (*task, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.away {
+		return nil, errAway
+	}
+	if tk := w.tasks[t.ID]; tk != nil {
+		return tk, nil
+	}
+	if end, ok := w.sessions[t.Session]; !ok || w.revoked[t.Session] || time.Now().After(end) {
+		return nil, fmt.Errorf("%w: %w", runner.ErrNotRun, runner.ErrSessionEnded)
+	}
+	tk := &task{session: t.Session, state: runner.StateRunning, done: make(chan struct{}), data: resultOf(t.Identity, body)}
+	w.tasks[t.ID] = tk
+	w.runs[t.Identity]++
+	time.AfterFunc(4*time.Second, func() { w.end(tk, true) })
+	return tk, nil
+}
+
+// resultOf is what the application answers; every other identity gets a large result.
+func resultOf(identity string, body []byte) []byte {
+	data := []byte(identity + ":" + string(body))
+	if identity[len(identity)-1]%2 == 0 {
+		return append(data, make([]byte, 3*MaxInlineBytes)...)
+	}
+	return data
+}
+
+// end finishes a task, unless its session has expired: then the worker has stopped it.
+func (w *worker) end(tk *task, answered bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if tk.state != runner.StateRunning {
+		return
+	}
+	tk.state = runner.StateStopped
+	if answered && time.Now().Before(w.sessions[tk.session]) {
+		tk.state = runner.StateDone
+	}
+	close(tk.done)
+}
+
+func (w *worker) answer(ctx context.Context, tk *task) (*runner.Answer, error) {
+	select {
+	case <-tk.done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.away || tk.state != runner.StateDone {
+		return nil, runner.ErrOutcomeUnknown
+	}
+	var body io.Reader = bytes.NewReader(tk.data)
+	if w.broken > 0 {
+		w.broken--
+		body = io.MultiReader(bytes.NewReader(tk.data[:3]), failing{})
+	}
+	return &runner.Answer{Status: w.status, ContentType: "text/plain", Body: io.NopCloser(body)}, nil
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, runner.ErrTruncated }
+
+// gated is the worker as one owner reaches it. Methods that the journal does not call are left out.
+type gated struct {
+	runner.Target
+	worker *worker
+	gate   *gate
+}
+
+func (g *gated) OpenSession(_ context.Context, id string, ttl time.Duration) (string, error) {
+	g.gate.pass()
+	defer g.gate.pass()
+	return g.worker.open(id, ttl)
+}
+
+func (g *gated) RevokeSession(_ context.Context, id string) (runner.Revocation, error) {
+	g.gate.pass()
+	defer g.gate.pass()
+	g.worker.mu.Lock()
+	defer g.worker.mu.Unlock()
+	if g.worker.away {
+		return runner.Revocation{}, errAway
+	}
+	g.worker.revoked[id] = true
+	return runner.Revocation{Boot: fmt.Sprint(g.worker.boot)}, nil
+}
+
+func (g *gated) Start(ctx context.Context, t runner.Task, body io.Reader) (*runner.Answer, error) {
+	g.gate.pass()
+	defer g.gate.pass()
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return nil, err
+	}
+	tk, err := g.worker.start(t, data)
+	if err != nil {
+		return nil, err
+	}
+	return g.worker.answer(ctx, tk)
+}
+
+func (g *gated) find(id string) (*task, error) {
+	g.worker.mu.Lock()
+	defer g.worker.mu.Unlock()
+	if g.worker.away {
+		return nil, errAway
+	}
+	if tk := g.worker.tasks[id]; tk != nil {
+		return tk, nil
+	}
+	return nil, runner.ErrUnknownTask
+}
+
+func (g *gated) Status(_ context.Context, id string) (runner.Status, error) {
+	g.gate.pass()
+	defer g.gate.pass()
+	tk, err := g.find(id)
+	if err != nil {
+		return runner.Status{}, err
+	}
+	g.worker.mu.Lock()
+	defer g.worker.mu.Unlock()
+	return runner.Status{ID: id, State: tk.state}, nil
+}
+
+func (g *gated) Answer(ctx context.Context, id string) (*runner.Answer, error) {
+	g.gate.pass()
+	defer g.gate.pass()
+	tk, err := g.find(id)
+	if err != nil {
+		return nil, err
+	}
+	return g.worker.answer(ctx, tk)
+}
+
+func (g *gated) Adopt(_ context.Context, id, session string) error {
+	g.gate.pass()
+	defer g.gate.pass()
+	tk, err := g.find(id)
+	if err != nil {
+		return err
+	}
+	g.worker.mu.Lock()
+	defer g.worker.mu.Unlock()
+	tk.session = session
+	return nil
+}
+
+func (g *gated) Stop(_ context.Context, id string) error {
+	tk, err := g.find(id)
+	if err == nil {
+		g.worker.end(tk, false)
+	}
+	return err
+}
+
+type placer struct{ target runner.Target }
+
+func (p placer) Place(_ context.Context, job Job) (Placement, error) {
+	if job.Request.Queue == "never" {
+		return Placement{}, ErrNeverRuns
+	}
+	return Placement{Name: "w", Target: p.target}, nil
+}
--- /dev/null
+++ b/pkg/journaler/journal.go
@@ -0,0 +1,339 @@
+package journaler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/comfreyford/comfreyford/pkg/runner"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// Config configures a Journal. Store, Entry, Limiter, Targets and Dispatcher are required.
+type Config struct {
+	Store      storer.Store
+	Entry      string // name of this entry daemon among the members
+	Limiter    Limiter
+	Targets    func(name string) (runner.Target, error) // finds a recorded target again
+	Dispatcher Dispatcher
+	Now        func() time.Time // default time.Now
+	Logger     hclog.Logger     // default: none
+
+	CallTimeout     time.Duration // of one call to the store or of one short call to a target; default 2 s
+	RetryDelay      time.Duration // after a failed call; default 100 ms
+	PlaceTimeout    time.Duration // of one call of the dispatcher; default 5 s
+	PlaceDelay      time.Duration // until a job that found no place is tried again; default 1 s
+	RecoveryTimeout time.Duration // until the outcome at an unreachable target is given up; default 60 s
+	SessionTTL      time.Duration // default 10 s
+	RenewInterval   time.Duration // default 3 s
+	MaxAttempts     int           // default 4
+	MaxRunning      int           // jobs that are placed or run at once; default 256
+	MaxRecovering   int           // targets that are examined at once, and tasks that are stopped at once; default 16
+}
+
+func (c Config) withDefaults() Config {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Logger == nil {
+		c.Logger = hclog.NewNullLogger()
+	}
+	for _, d := range []struct {
+		value    *time.Duration
+		fallback time.Duration
+	}{
+		{&c.CallTimeout, 2 * time.Second},
+		{&c.RetryDelay, 100 * time.Millisecond},
+		{&c.PlaceTimeout, 5 * time.Second},
+		{&c.PlaceDelay, time.Second},
+		{&c.RecoveryTimeout, 60 * time.Second},
+		{&c.SessionTTL, 10 * time.Second},
+		{&c.RenewInterval, 3 * time.Second},
+	} {
+		if *d.value <= 0 {
+			*d.value = d.fallback
+		}
+	}
+	for _, n := range []struct {
+		value    *int
+		fallback int
+	}{
+		{&c.MaxAttempts, 4},
+		{&c.MaxRunning, 256},
+		{&c.MaxRecovering, 16},
+	} {
+		if *n.value <= 0 {
+			*n.value = n.fallback
+		}
+	}
+	return c
+}
+
+// Journal owns some of the shards, as the live members given by SetMembers say.
+type Journal struct {
+	cfg        Config
+	running    chan struct{} // bounds the jobs that are placed or run
+	recovering chan struct{} // bounds the targets that are examined
+	stopping   chan struct{} // bounds the calls that stop cancelled tasks
+
+	mu      sync.Mutex
+	members []string
+	closed  bool
+	holders map[int]*holder
+	wg      sync.WaitGroup
+}
+
+// New returns a journal that owns no shard yet.
+func New(cfg Config) *Journal {
+	cfg = cfg.withDefaults()
+	return &Journal{
+		cfg:        cfg,
+		running:    make(chan struct{}, cfg.MaxRunning),
+		recovering: make(chan struct{}, cfg.MaxRecovering),
+		stopping:   make(chan struct{}, cfg.MaxRecovering),
+		holders:    map[int]*holder{},
+	}
+}
+
+// SetMembers gives the live members. Shards that are now owned here are taken
+// over in the background; shards that are owned elsewhere are handed over
+// before SetMembers returns, as long as ctx allows.
+func (j *Journal) SetMembers(ctx context.Context, members []string) {
+	j.mu.Lock()
+	j.members = slices.Clone(members)
+	var leaving []*holder
+	for shard := range Shards {
+		h := j.holders[shard]
+		mine := !j.closed && OwnerOf(shard, members) == j.cfg.Entry
+		switch {
+		case mine && h == nil:
+			h = newHolder(ctx, j, shard)
+			j.holders[shard] = h
+			j.wg.Go(h.hold)
+		case !mine && h != nil:
+			delete(j.holders, shard)
+			leaving = append(leaving, h)
+		}
+	}
+	j.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, h := range leaving {
+		wg.Go(func() { h.release(ctx) })
+	}
+	wg.Wait()
+}
+
+// Close hands all shards over and waits for the work of this journal to stop.
+func (j *Journal) Close(ctx context.Context) {
+	j.mu.Lock()
+	j.closed = true
+	j.mu.Unlock()
+	j.SetMembers(ctx, nil)
+	j.wg.Wait()
+}
+
+// Owner returns the member that owns the shard of an identity, or "".
+func (j *Journal) Owner(id uuid.UUID) string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return OwnerOf(ShardOf(id), j.members)
+}
+
+// Owned returns the shards that have been taken over here.
+func (j *Journal) Owned() []int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var owned []int
+	for shard, h := range j.holders {
+		if h.current() != nil {
+			owned = append(owned, shard)
+		}
+	}
+	slices.Sort(owned)
+	return owned
+}
+
+// Submission is a request for the journal.
+type Submission struct {
+	ID      uuid.UUID
+	Request Request
+	Body    []byte // at most MaxBlobBytes
+}
+
+// Outcome is what the journal knows of an identity.
+type Outcome struct {
+	Record Record
+	// Fresh means that this call created the record. The caller runs a fresh
+	// request that is not deferrable and then calls Detach; the journal itself
+	// runs jobs.
+	Fresh bool
+}
+
+// Submit accepts a request or, when it is repeated, returns its record. An
+// error whose effect is EffectNone proves that this call caused no run, with
+// one exception: after ErrIdentityExpired an earlier call may have.
+func (j *Journal) Submit(ctx context.Context, sub Submission) (Outcome, error) {
+	if len(sub.Body) > MaxBlobBytes {
+		return Outcome{}, Error.Wrap(ErrBodyTooLarge)
+	}
+	t, err := j.tenure(sub.ID)
+	if err != nil {
+		return Outcome{}, err
+	}
+	if r, ok := t.shard.Record(sub.ID); ok {
+		return repeat(r, sub)
+	}
+	if err := CheckNew(sub.ID, j.cfg.Now()); err != nil {
+		return Outcome{}, err
+	}
+	return t.accept(ctx, sub)
+}
+
+// Lookup returns the record of an identity to its team.
+func (j *Journal) Lookup(ctx context.Context, id uuid.UUID, team string) (Record, error) {
+	t, err := j.tenure(id)
+	if err != nil {
+		return Record{}, err
+	}
+	r, ok := t.shard.Record(id)
+	if !ok {
+		if err := t.shard.Verify(ctx); err != nil {
+			return Record{}, err
+		}
+		return Record{}, Error.Wrap(ErrNotFound)
+	}
+	if r.Team != team {
+		return Record{}, Error.Wrap(ErrWrongTeam)
+	}
+	return r, nil
+}
+
+// Wait returns the record once it is final. When ctx ends first it returns the
+// last state together with the error.
+func (j *Journal) Wait(ctx context.Context, id uuid.UUID, team string) (Record, error) {
+	if r, err := j.Lookup(ctx, id, team); err != nil || r.State.Final() {
+		return r, err
+	}
+	t, err := j.tenure(id)
+	if err != nil {
+		return Record{}, err
+	}
+	return t.shard.Wait(ctx, id)
+}
+
+// Data returns the kept result of a record in state done.
+func (j *Journal) Data(ctx context.Context, r Record) ([]byte, error) {
+	t, err := j.tenure(r.ID)
+	if err != nil {
+		return nil, err
+	}
+	if r.State != StateDone || !r.Kept {
+		return nil, Error.Wrap(ErrNotKept)
+	}
+	return t.shard.getBlob(ctx, Blob{
+		Inline: r.Inline,
+		Key:    r.Key,
+		Size:   r.Size,
+		Digest: r.Digest,
+	})
+}
+
+// Cancel cancels an open record and returns its state. A record that has ended is left as it is.
+func (j *Journal) Cancel(ctx context.Context, id uuid.UUID, team string) (Record, error) {
+	t, err := j.tenure(id)
+	if err != nil {
+		return Record{}, err
+	}
+	err = t.shard.Cancel(ctx, id, team)
+	var illegal *StateError
+	if err != nil && !errors.As(err, &illegal) {
+		return Record{}, err
+	}
+	return j.Lookup(ctx, id, team)
+}
+
+// Detach says that the caller of a fresh request on the line no longer runs
+// it. A record that is still open is then ended by the journal: an accepted one
+// as not run, a started one by recovery. Every fresh request needs one Detach.
+func (j *Journal) Detach(id uuid.UUID) {
+	t, err := j.tenure(id)
+	if err != nil {
+		return // the next tenure finds no caller for the record
+	}
+	t.mu.Lock()
+	delete(t.online, id)
+	t.mu.Unlock()
+}
+
+// Start records an attempt of a request on the line. Only after it returned
+// nil may the caller start the task.
+func (j *Journal) Start(ctx context.Context, id uuid.UUID, a Attempt) error {
+	return j.change(ctx, id, func(d *Document, _ time.Time) error { return d.Start(id, a) })
+}
+
+// NotRun takes an attempt back that the worker has proved not to have run.
+func (j *Journal) NotRun(ctx context.Context, id uuid.UUID, task string) error {
+	return j.change(ctx, id, func(d *Document, _ time.Time) error { return d.NotRun(id, task) })
+}
+
+// Fail ends a request on the line that did not run.
+func (j *Journal) Fail(ctx context.Context, id uuid.UUID, verdict Verdict) error {
+	return j.change(ctx, id, func(d *Document, now time.Time) error { return d.Fail(id, verdict, now) })
+}
+
+// MarkUnknown ends a request on the line whose outcome cannot be learned.
+func (j *Journal) MarkUnknown(ctx context.Context, id uuid.UUID, task string) error {
+	return j.change(ctx, id, func(d *Document, now time.Time) error { return d.MarkUnknown(id, task, now) })
+}
+
+// Finish records the answer to a request on the line. Data above MaxBlobBytes is not kept.
+func (j *Journal) Finish(ctx context.Context, id uuid.UUID, task string, answer Finished) error {
+	t, err := j.tenure(id)
+	if err != nil {
+		return err
+	}
+	return t.finish(ctx, id, task, answer)
+}
+
+func (j *Journal) change(ctx context.Context, id uuid.UUID, apply func(d *Document, now time.Time) error) error {
+	t, err := j.tenure(id)
+	if err != nil {
+		return err
+	}
+	return t.shard.Change(ctx, apply)
+}
+
+// tenure returns the current tenure of the identity's shard.
+func (j *Journal) tenure(id uuid.UUID) (*tenure, error) {
+	j.mu.Lock()
+	h := j.holders[ShardOf(id)]
+	j.mu.Unlock()
+	if h != nil {
+		if t := h.current(); t != nil {
+			return t, nil
+		}
+	}
+	return nil, notApplied(fmt.Errorf("%w: shard %d", ErrClosed, ShardOf(id)))
+}
+
+// repeat answers a repeated request, unless the identity was used for another one.
+func repeat(r Record, sub Submission) (Outcome, error) {
+	if r.Team != sub.Request.Team {
+		return Outcome{}, Error.Wrap(ErrWrongTeam)
+	}
+	// A repeat may carry another deadline.
+	first, second := r.Request, sub.Request
+	first.DeadlineMS, second.DeadlineMS = 0, 0
+	if first != second || r.BodySize != len(sub.Body) || r.BodyDigest != inlineBlob(sub.Body).Digest {
+		return Outcome{}, Error.Wrap(ErrIdentityReused)
+	}
+	return Outcome{
+		Record: r,
+	}, nil
+}
--- /dev/null
+++ b/pkg/journaler/journal_test.go
@@ -0,0 +1,331 @@
+package journaler
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyford/comfreyford/pkg/runner"
+)
+
+// submit sends a request to an owner and, on the line, runs it there.
+func (w *world) submit(o *owner, id uuid.UUID, req Request) {
+	w.wg.Go(func() {
+		body := []byte(strings.Repeat(id.String(), 1+int(id[15]%3)*20))
+		out, err := o.j.Submit(context.Background(), Submission{ID: id, Request: req, Body: body})
+		w.mu.Lock()
+		if EffectOf(err) != EffectNone {
+			w.claims[id]++
+		}
+		if out.Fresh {
+			if w.fresh[id] {
+				w.t.Errorf("%s was fresh twice", id)
+			}
+			w.fresh[id] = true
+		}
+		w.mu.Unlock()
+		if out.Fresh && !req.Deferrable {
+			w.online(o, id, body)
+		}
+	})
+}
+
+// online acts as the dispatcher of requests whose caller is on the line.
+func (w *world) online(o *owner, id uuid.UUID, body []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	defer o.j.Detach(id)
+	target, _ := o.j.cfg.Targets("w")
+	task := id.String() + ".1"
+	boot, err := target.OpenSession(ctx, task, 10*time.Second)
+	if err != nil {
+		return
+	}
+	if o.j.Start(ctx, id, Attempt{Task: task, Target: "w", Boot: boot, Session: task}) != nil {
+		return
+	}
+	answer, err := target.Start(ctx, runner.Task{ID: task, Session: task, Identity: id.String()}, bytes.NewReader(body))
+	switch {
+	case errors.Is(err, runner.ErrNotRun):
+		_ = o.j.NotRun(ctx, id, task)
+	case err != nil:
+		return // left to recovery
+	default:
+		data := new(bytes.Buffer)
+		if _, err := data.ReadFrom(answer.Body); err == nil {
+			_ = o.j.Finish(ctx, id, task, Finished{Status: answer.Status, Data: data.Bytes()})
+		}
+	}
+}
+
+func (w *world) members(names ...string) {
+	for _, o := range w.owners {
+		w.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			o.j.SetMembers(ctx, names)
+		})
+	}
+}
+
+// settle ends all faults, gives the shards to the last owner and checks every guarantee.
+func (w *world) settle(t testing.TB, ids []uuid.UUID) {
+	time.Sleep(10 * time.Second)
+	w.worker.mu.Lock()
+	w.worker.away = false
+	w.worker.mu.Unlock()
+	last := w.owners[len(w.owners)-1]
+	for _, o := range w.owners {
+		o.mu.Lock()
+		o.down, o.lost, o.crashAt = false, 0, 0
+		o.mu.Unlock()
+		o.set(false)
+	}
+	w.members(last.name)
+	time.Sleep(150 * time.Second)
+	for _, id := range ids {
+		w.verify(t, last, id)
+	}
+	for _, o := range w.owners {
+		o.j.Close(context.Background())
+	}
+	w.wg.Wait()
+}
+
+func (w *world) verify(t testing.TB, o *owner, id uuid.UUID) {
+	r, err := o.j.Lookup(context.Background(), id, "team")
+	w.mu.Lock()
+	claims, fresh := w.claims[id], w.fresh[id]
+	w.mu.Unlock()
+	w.worker.mu.Lock()
+	runs := w.worker.runs[id.String()]
+	w.worker.mu.Unlock()
+	if err != nil {
+		if !errors.Is(err, ErrNotFound) || fresh || runs > 0 {
+			t.Errorf("%s: %v, accepted %t, %d runs", id, err, fresh, runs)
+		}
+		return
+	}
+	switch {
+	case !r.State.Final():
+		t.Errorf("%s has not ended: %s", id, r.State)
+	case claims == 0:
+		t.Errorf("%s was refused by all, but has a record", id)
+	case runs > 1 && !r.Idempotent:
+		t.Errorf("%s ran %d times", id, runs)
+	case runs > 0 && !r.Ran:
+		t.Errorf("%s is said not to have run: %s %s", id, r.State, r.Verdict)
+	case r.Deferrable && r.State == StateFailed && r.Queue != "never" && !r.Idempotent:
+		t.Errorf("%s failed: %s", id, r.Verdict)
+	}
+	if r.State != StateDone {
+		return
+	}
+	data, err := o.j.Data(context.Background(), r)
+	body := []byte(strings.Repeat(id.String(), 1+int(id[15]%3)*20))
+	if err != nil || !bytes.Equal(data, resultOf(id.String(), body)) {
+		t.Errorf("%s has another result: %d bytes, %v", id, len(data), err)
+	}
+}
+
+func request(kind int) Request {
+	return Request{
+		Queue:      "q",
+		Team:       "team",
+		Method:     "POST",
+		Path:       "/p",
+		Deferrable: kind != 0,
+		Idempotent: kind == 2,
+		DeadlineMS: time.Now().Add(time.Hour).UnixMilli(),
+	}
+}
+
+// action is one step of a random history.
+type action struct {
+	Kind, Owner, N int
+	Wait           time.Duration
+}
+
+func (w *world) apply(a action, ids []uuid.UUID) {
+	o := w.owners[a.Owner%len(w.owners)]
+	n := a.N % len(ids)
+	switch a.Kind {
+	case 0, 1, 2:
+		w.submit(o, ids[n], request(n%3))
+	case 3:
+		w.wg.Go(func() { _, _ = o.j.Cancel(context.Background(), ids[n], "team") })
+	case 4, 5:
+		o.set(a.Kind == 4)
+	case 6:
+		o.mu.Lock()
+		o.down = !o.down
+		o.mu.Unlock()
+	case 7:
+		o.mu.Lock()
+		o.lost += a.N
+		o.mu.Unlock()
+	case 8:
+		w.worker.restart()
+	case 9:
+		w.worker.mu.Lock()
+		w.worker.away = !w.worker.away
+		w.worker.broken = a.N
+		w.worker.mu.Unlock()
+	case 10: // the owners disagree on the members
+		w.wg.Go(func() { o.j.SetMembers(context.Background(), []string{o.name}) })
+	case 11:
+		w.members(o.name, w.owners[0].name)
+	}
+	time.Sleep(a.Wait)
+}
+
+// Guards against a second run, a lost or doubled end, a false "not run" and a
+// wrong result, whatever happens to owners, store and worker.
+func TestGuaranteesHoldOverRandomHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		owners := rapid.IntRange(2, 3).Draw(rt, "owners")
+		script := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) action {
+			return action{
+				Kind:  rapid.IntRange(0, 11).Draw(rt, "kind"),
+				Owner: rapid.IntRange(0, 2).Draw(rt, "owner"),
+				N:     rapid.IntRange(0, 8).Draw(rt, "n"),
+				Wait:  time.Duration(rapid.IntRange(0, 4000).Draw(rt, "wait")) * time.Millisecond,
+			}
+		}), 5, 40).Draw(rt, "script")
+		var failures []string
+		synctest.Test(t, func(t *testing.T) {
+			rec := &recorder{TB: t}
+			w := newWorld(rec, owners)
+			ids := newIDs(9)
+			w.members("a")
+			time.Sleep(time.Second)
+			for _, a := range script {
+				w.apply(a, ids)
+			}
+			w.settle(rec, ids)
+			failures = rec.failures
+		})
+		if len(failures) > 0 {
+			rt.Fatal(strings.Join(failures, "\n"))
+		}
+	})
+}
+
+// recorder collects failures, so that rapid can shrink the history.
+type recorder struct {
+	testing.TB
+	failures []string
+}
+
+func (r *recorder) Errorf(format string, args ...any) {
+	r.failures = append(r.failures, fmt.Sprintf(format, args...))
+}
+
+func newIDs(n int) []uuid.UUID {
+	var ids []uuid.UUID
+	for i := range n {
+		ids = append(ids, idAt(time.Now(), byte(i)))
+	}
+	return ids
+}
+
+// Guards against a crash between any two steps of a request: the owner stops
+// for good before or after each of its calls to the store.
+func TestCrashAtEveryStep(t *testing.T) {
+	for kind, name := range []string{"on the line", "job", "idempotent job"} {
+		for at, reached := 1, true; reached; at++ {
+			t.Run(fmt.Sprintf("%s, call %d", name, at), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t, 2)
+					ids := newIDs(3)
+					w.owners[0].crashAt = at + 4 // after the two calls of the takeover
+					w.owners[0].crashOn = ShardKey(ShardOf(ids[kind]))
+					w.members("a")
+					time.Sleep(time.Second)
+					w.submit(w.owners[0], ids[kind], request(kind))
+					time.Sleep(6 * time.Second)
+					w.owners[0].mu.Lock()
+					reached = w.owners[0].calls >= at+4
+					w.owners[0].mu.Unlock()
+					w.owners[1].j.SetMembers(t.Context(), []string{"b"})
+					time.Sleep(30 * time.Second)
+					w.submit(w.owners[1], ids[kind], request(kind)) // the caller repeats the request
+					w.settle(t, ids[kind:kind+1])
+				})
+			})
+		}
+	}
+}
+
+// Guards against jobs without an end and against verdicts that name another reason.
+func TestJobsEndWithAVerdict(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(*world, *Request)
+		runs   int
+		want   Verdict
+	}{
+		{name: "never runs", change: func(_ *world, r *Request) { r.Queue = "never" }, want: VerdictCannotRun},
+		{name: "always fails", change: func(w *world, _ *Request) { w.worker.status = 500 }, runs: 4, want: VerdictAttemptsExhausted},
+		{name: "no target", change: func(w *world, r *Request) {
+			w.worker.away = true
+			r.DeadlineMS = time.Now().Add(20 * time.Second).UnixMilli()
+		}, want: VerdictDeadlineExceeded},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1)
+				w.members("a")
+				time.Sleep(time.Second)
+				id, req := idAt(time.Now(), 1), request(2)
+				tt.change(w, &req)
+				w.submit(w.owners[0], id, req)
+				time.Sleep(time.Minute)
+				r, err := w.owners[0].j.Lookup(t.Context(), id, "team")
+				if err != nil || r.Verdict != tt.want || w.worker.runs[id.String()] != tt.runs {
+					t.Errorf("%v %s %s, %d runs", err, r.State, r.Verdict, w.worker.runs[id.String()])
+				}
+				if _, err := w.owners[0].j.Lookup(t.Context(), id, "other"); !errors.Is(err, ErrWrongTeam) {
+					t.Errorf("another team: %v", err)
+				}
+				w.owners[0].j.Close(t.Context())
+				w.wg.Wait()
+			})
+		})
+	}
+}
+
+// Guards against "not run" from a worker that has forgotten the task.
+func TestDecide(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		evidence   Evidence
+		want       Action // non-idempotent
+		idempotent Action
+	}{
+		{"unknown task", Evidence{BootBefore: "1", BootAfter: "1"}, ActionNotRun, ActionNotRun},
+		{"restarted before", Evidence{BootBefore: "2", BootAfter: "2"}, ActionUnknown, ActionRetry},
+		{"restarted during the lookup", Evidence{BootBefore: "1", BootAfter: "2"}, ActionUnknown, ActionRetry},
+		{"running", Evidence{State: runner.StateRunning}, ActionAdopt, ActionAdopt},
+		{"checkpointed", Evidence{State: runner.StateCheckpointed}, ActionAdopt, ActionAdopt},
+		{"done", Evidence{State: runner.StateDone}, ActionAnswer, ActionAnswer},
+		{"stopped", Evidence{State: runner.StateStopped}, ActionUnknown, ActionRetry},
+	} {
+		r := Record{Attempt: Attempt{Boot: "1"}}
+		if got := Decide(r, tt.evidence); got != tt.want {
+			t.Errorf("%s: %s", tt.name, got)
+		}
+		r.Idempotent = true
+		if got := Decide(r, tt.evidence); got != tt.idempotent {
+			t.Errorf("%s, idempotent: %s", tt.name, got)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/journaler/recovery.go
@@ -0,0 +1,182 @@
+package journaler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/runner"
+)
+
+// Action is what recovery does with a started record.
+type Action string
+
+// The actions of recovery.
+const (
+	ActionNotRun      Action = "not_run"     // back to accepted, as a new attempt
+	ActionAdopt       Action = "adopt"       // move the running task to an own session
+	ActionAnswer      Action = "answer"      // take the kept answer
+	ActionRetry       Action = "retry"       // may have run, and may run again
+	ActionUnknown     Action = "unknown"     // may have run, and must not run again
+	ActionUnreachable Action = "unreachable" // ask again
+)
+
+// Evidence is what a worker said about a task after its session was revoked.
+type Evidence struct {
+	BootBefore string       // stated by the revocation before the task was looked up
+	BootAfter  string       // stated by a second revocation afterwards
+	State      runner.State // empty: the worker does not know the task
+}
+
+// Decide chooses the action for a started record. "Unknown task" proves that
+// the task did not run only if the boot id was the recorded one both before
+// and after the lookup: a worker that restarted in between has forgotten it.
+func Decide(r Record, e Evidence) Action {
+	switch e.State {
+	case runner.StateRunning, runner.StateCheckpointed:
+		return ActionAdopt
+	case runner.StateDone:
+		return ActionAnswer
+	case "":
+		if r.Boot != "" && e.BootBefore == r.Boot && e.BootAfter == r.Boot {
+			return ActionNotRun
+		}
+	}
+	if r.Idempotent {
+		return ActionRetry
+	}
+	return ActionUnknown
+}
+
+// recover brings a started record to an end or back to accepted. The outcome
+// of a non-idempotent request is asked for during RecoveryTimeout.
+func (t *tenure) recover(ctx context.Context, r Record) {
+	limit := t.j.cfg.Now().Add(t.j.cfg.RecoveryTimeout)
+	for ctx.Err() == nil {
+		action, err := t.step(ctx, r)
+		if err == nil {
+			return
+		}
+		t.j.cfg.Logger.Debug("recovery step failed", "task", r.Task, "action", action, "error", err)
+		if ctx.Err() != nil {
+			return
+		}
+		now := t.j.cfg.Now()
+		if action == ActionAdopt && now.UnixMilli() < r.DeadlineMS {
+			// The task was running, so the time to ask for its outcome begins anew.
+			limit = now.Add(t.j.cfg.RecoveryTimeout)
+		}
+		overtime := !now.Before(limit)
+		if r.Idempotent && (overtime || action == ActionUnreachable) {
+			t.persist(ctx, t.retry(r))
+			return
+		}
+		if overtime {
+			t.persist(ctx, t.markUnknown(r))
+			return
+		}
+		_ = sleep(ctx, t.j.cfg.RetryDelay)
+	}
+}
+
+func (t *tenure) markUnknown(r Record) func(d *Document, now time.Time) error {
+	return func(d *Document, now time.Time) error { return d.MarkUnknown(r.ID, r.Task, now) }
+}
+
+// step examines the record at its target and carries out the action. With an
+// error the record is still open.
+func (t *tenure) step(ctx context.Context, r Record) (Action, error) {
+	target, err := t.j.cfg.Targets(r.Target)
+	if err != nil {
+		return ActionUnreachable, err
+	}
+	action, err := t.examine(ctx, target, r)
+	if err != nil {
+		return action, err
+	}
+	switch action {
+	case ActionNotRun:
+		t.persist(ctx, func(d *Document, _ time.Time) error { return d.NotRun(r.ID, r.Task) })
+	case ActionRetry:
+		t.persist(ctx, t.retry(r))
+	case ActionUnknown:
+		t.persist(ctx, t.markUnknown(r))
+	case ActionAnswer:
+		return action, t.fetch(ctx, target, r)
+	case ActionAdopt:
+		return action, t.follow(ctx, target, r)
+	}
+	return action, nil
+}
+
+// examine revokes the recorded session and asks for the task. The number of
+// targets that are examined at once is bounded.
+func (t *tenure) examine(ctx context.Context, target runner.Target, r Record) (Action, error) {
+	select {
+	case t.j.recovering <- struct{}{}:
+		defer func() { <-t.j.recovering }()
+	case <-ctx.Done():
+		return ActionUnreachable, ctx.Err()
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.j.cfg.CallTimeout)
+	defer cancel()
+	before, err := target.RevokeSession(ctx, r.Session)
+	if err != nil {
+		return ActionUnreachable, err
+	}
+	e := Evidence{
+		BootBefore: before.Boot,
+	}
+	status, err := target.Status(ctx, r.Task)
+	switch {
+	case err == nil:
+		e.State = status.State
+		return Decide(r, e), nil
+	case !errors.Is(err, runner.ErrUnknownTask):
+		return ActionUnreachable, err
+	}
+	after, err := target.RevokeSession(ctx, r.Session)
+	if err != nil {
+		return ActionUnreachable, err
+	}
+	e.BootAfter = after.Boot
+	return Decide(r, e), nil
+}
+
+// follow adopts a running task and waits for its answer. The task is adopted
+// at the worker first: a record that still names the revoked session is
+// recovered in the same way by the next owner.
+func (t *tenure) follow(ctx context.Context, target runner.Target, r Record) error {
+	session := fmt.Sprintf("%s.%s.%d", r.ID, t.shard.term[:8], t.shard.blobs.Add(1))
+	boot, err := t.adopt(ctx, target, r.Task, session)
+	if err != nil {
+		return err
+	}
+	t.persist(ctx, func(d *Document, _ time.Time) error { return d.Adopt(r.ID, r.Task, session) })
+	renewing, stop := context.WithCancel(ctx)
+	defer stop()
+	t.wg.Go(func() { t.renew(renewing, target, session, boot) })
+	return t.fetch(ctx, target, r)
+}
+
+func (t *tenure) adopt(ctx context.Context, target runner.Target, task, session string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.j.cfg.CallTimeout)
+	defer cancel()
+	boot, err := target.OpenSession(ctx, session, t.j.cfg.SessionTTL)
+	if err != nil {
+		return "", err
+	}
+	return boot, target.Adopt(ctx, task, session)
+}
+
+// fetch waits for the answer of a task and records it.
+func (t *tenure) fetch(ctx context.Context, target runner.Target, r Record) error {
+	bounded, cancel := t.untilDeadline(ctx, r)
+	defer cancel()
+	answer, err := target.Answer(bounded, r.Task)
+	if err != nil {
+		return err
+	}
+	return t.complete(ctx, r, answer)
+}
--- /dev/null
+++ b/pkg/journaler/run.go
@@ -0,0 +1,270 @@
+package journaler
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/comfreyford/comfreyford/pkg/runner"
+)
+
+// Job is an accepted job that needs a target.
+type Job struct {
+	ID       uuid.UUID
+	Request  Request
+	Failures int // attempts so far that ended without a result
+}
+
+// Placement is a target for one attempt.
+type Placement struct {
+	Name      string // by which Config.Targets finds the target again
+	Target    runner.Target
+	Pool      string
+	Resources runner.Resources
+	Release   func() // called once, when the attempt is over; may be nil
+}
+
+// Dispatcher chooses targets for jobs.
+type Dispatcher interface {
+	// Place returns a target with room for the job, and may wait for one until
+	// ctx ends. An error that wraps ErrNeverRuns ends the job; after any other
+	// the job is tried again.
+	Place(ctx context.Context, job Job) (Placement, error)
+}
+
+// Finished is the answer of an application.
+type Finished struct {
+	Status      int
+	ContentType string
+	Data        []byte
+}
+
+func isExists(err error) bool { return errors.Is(err, ErrExists) }
+
+// run makes one attempt of an accepted job.
+func (t *tenure) run(ctx context.Context, r Record) {
+	defer t.delay(r.ID)
+	body, err := t.shard.getBlob(ctx, Blob{
+		Inline: r.BodyInline,
+		Key:    r.BodyKey,
+		Size:   r.BodySize,
+		Digest: r.BodyDigest,
+	})
+	if err != nil {
+		if errors.Is(err, ErrCorrupt) {
+			t.failWith(VerdictBodyLost)(ctx, r)
+		}
+		return
+	}
+	p, err := t.place(ctx, r)
+	if err != nil {
+		if errors.Is(err, ErrNeverRuns) {
+			t.failWith(VerdictCannotRun)(ctx, r)
+		}
+		return
+	}
+	if p.Release != nil {
+		defer p.Release()
+	}
+	a, err := t.begin(ctx, r, p)
+	if err != nil {
+		return
+	}
+	t.execute(ctx, r, a, p, body)
+}
+
+func (t *tenure) place(ctx context.Context, r Record) (Placement, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.j.cfg.PlaceTimeout)
+	defer cancel()
+	return t.j.cfg.Dispatcher.Place(ctx, Job{
+		ID:       r.ID,
+		Request:  r.Request,
+		Failures: r.Failures,
+	})
+}
+
+// begin opens a session and commits the attempt. The session belongs to this
+// attempt alone, so that revoking it disturbs no other task.
+func (t *tenure) begin(ctx context.Context, r Record, p Placement) (Attempt, error) {
+	task := fmt.Sprintf("%s.%d", r.ID, r.Starts+1)
+	call, cancel := context.WithTimeout(ctx, t.j.cfg.CallTimeout)
+	defer cancel()
+	boot, err := p.Target.OpenSession(call, task, t.j.cfg.SessionTTL)
+	if err != nil {
+		return Attempt{}, err
+	}
+	a := Attempt{
+		Task:    task,
+		Target:  p.Name,
+		Boot:    boot,
+		Session: task,
+	}
+	err = t.shard.Change(ctx, func(d *Document, now time.Time) error {
+		if d.Records[r.ID].Starts != r.Starts {
+			return Error.Wrap(ErrWrongTask)
+		}
+		if now.UnixMilli() >= r.DeadlineMS {
+			return Error.Wrap(context.DeadlineExceeded)
+		}
+		return d.Start(r.ID, a)
+	})
+	return a, err
+}
+
+// execute starts the task of a committed attempt and records how it ended.
+func (t *tenure) execute(ctx context.Context, r Record, a Attempt, p Placement, body []byte) {
+	renewing, stop := context.WithCancel(ctx)
+	defer stop()
+	t.wg.Go(func() { t.renew(renewing, p.Target, a.Session, a.Boot) })
+	r.State = StateStarted
+	r.Attempt = a
+	bounded, cancel := t.untilDeadline(ctx, r)
+	defer cancel()
+	answer, err := p.Target.Start(bounded, runner.Task{
+		ID:         a.Task,
+		Session:    a.Session,
+		Identity:   r.ID.String(),
+		Team:       r.Team,
+		Pool:       p.Pool,
+		Method:     r.Method,
+		Path:       r.Path,
+		Deferrable: true,
+		Resources:  p.Resources,
+		Timeout:    time.UnixMilli(r.DeadlineMS).Sub(t.j.cfg.Now()),
+	}, bytes.NewReader(body))
+	switch {
+	case err == nil:
+		if t.complete(ctx, r, answer) != nil {
+			t.recover(ctx, r)
+		}
+	case errors.Is(err, runner.ErrNotRun):
+		t.persist(ctx, func(d *Document, _ time.Time) error { return d.NotRun(r.ID, a.Task) })
+	default:
+		t.recover(ctx, r)
+	}
+}
+
+// untilDeadline bounds a wait for an answer. The worker stops the task at the
+// deadline, so an answer that has not begun soon after will not come.
+func (t *tenure) untilDeadline(ctx context.Context, r Record) (context.Context, context.CancelFunc) {
+	rest := time.UnixMilli(r.DeadlineMS).Sub(t.j.cfg.Now())
+	return context.WithTimeout(ctx, max(rest, 0)+t.j.cfg.CallTimeout)
+}
+
+// complete reads the answer and records it. After an error the answer was not
+// whole and can be fetched again from the worker.
+func (t *tenure) complete(ctx context.Context, r Record, answer *runner.Answer) error {
+	data, err := io.ReadAll(io.LimitReader(answer.Body, MaxBlobBytes+1))
+	answer.Body.Close()
+	switch {
+	case err != nil:
+		return Error.Wrap(err)
+	case answer.Status >= 500 && r.Deferrable && r.Idempotent:
+		t.persist(ctx, t.retry(r))
+	case len(data) > MaxBlobBytes && r.Deferrable:
+		t.failWith(VerdictResultTooLarge)(ctx, r)
+	default:
+		t.finishJob(ctx, r, Finished{
+			Status:      answer.Status,
+			ContentType: answer.ContentType,
+			Data:        data,
+		})
+	}
+	return nil
+}
+
+func (t *tenure) finishJob(ctx context.Context, r Record, answer Finished) {
+	for ctx.Err() == nil {
+		err := t.finish(ctx, r.ID, r.Task, answer)
+		if !isRetriable(err) {
+			return
+		}
+		_ = sleep(ctx, t.j.cfg.RetryDelay)
+	}
+}
+
+// finish stores the result at its key if it is large, and then the record.
+// Without room for an inline result the result gets a key as well.
+func (t *tenure) finish(ctx context.Context, id uuid.UUID, task string, answer Finished) error {
+	result := Result{
+		Status: answer.Status,
+		Type:   answer.ContentType,
+		Kept:   len(answer.Data) <= MaxBlobBytes,
+	}
+	if len(result.Type) > maxNameBytes {
+		result.Type = "application/octet-stream"
+	}
+	if !result.Kept {
+		return t.commitResult(ctx, id, task, result)
+	}
+	for _, external := range []bool{false, true} {
+		blob, err := t.shard.putBlob(ctx, resultPrefix, id, answer.Data, external)
+		if err != nil {
+			return err
+		}
+		result.Inline, result.Key, result.Size, result.Digest = blob.Inline, blob.Key, blob.Size, blob.Digest
+		err = t.commitResult(ctx, id, task, result)
+		if EffectOf(err) == EffectNone {
+			t.shard.discard(blob.Key)
+		}
+		if !errors.Is(err, ErrFull) {
+			return err
+		}
+	}
+	return Error.Wrap(ErrFull)
+}
+
+func (t *tenure) commitResult(ctx context.Context, id uuid.UUID, task string, result Result) error {
+	return t.shard.Change(ctx, func(d *Document, now time.Time) error { return d.Finish(id, task, result, now) })
+}
+
+// persist commits a transition, again after an outage of the store.
+func (t *tenure) persist(ctx context.Context, apply func(d *Document, now time.Time) error) {
+	for ctx.Err() == nil {
+		if err := t.shard.Change(ctx, apply); !isRetriable(err) {
+			return
+		}
+		_ = sleep(ctx, t.j.cfg.RetryDelay)
+	}
+}
+
+func isRetriable(err error) bool {
+	return err != nil && EffectOf(err) == EffectNone && errors.Is(err, ErrUnavailable)
+}
+
+func (t *tenure) failWith(verdict Verdict) func(context.Context, Record) {
+	return func(ctx context.Context, r Record) {
+		t.persist(ctx, func(d *Document, now time.Time) error { return d.Fail(r.ID, verdict, now) })
+	}
+}
+
+func (t *tenure) retry(r Record) func(d *Document, now time.Time) error {
+	return func(d *Document, now time.Time) error { return d.Retry(r.ID, r.Task, t.j.cfg.MaxAttempts, now) }
+}
+
+// renew keeps a session open. It stops when the worker has restarted or when
+// the session must have lapsed: opening it again could let a start through
+// that a successor has already found not to have run.
+func (t *tenure) renew(ctx context.Context, target runner.Target, session, boot string) {
+	last := t.j.cfg.Now()
+	for sleep(ctx, t.j.cfg.RenewInterval) == nil {
+		now := t.j.cfg.Now()
+		if now.Sub(last) >= t.j.cfg.SessionTTL {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, t.j.cfg.CallTimeout)
+		got, err := target.OpenSession(call, session, t.j.cfg.SessionTTL)
+		cancel()
+		if errors.Is(err, runner.ErrSessionEnded) || (err == nil && got != boot) {
+			return
+		}
+		if err == nil {
+			last = now
+		}
+	}
+}
