retrier: limit retries per team and pool

Change: a budget per team and pool that earns 0.1 retry per first attempt and 1 per second; backoff with full jitter; deadlines by class. The stated bound is 10% + 1/s + 1 from the first use of a budget, and 10 more in a later interval for credit that earlier first attempts saved. Ruled out: one bucket for both sources, because an idle pool would save up time credit and then allow a burst; the time credit is capped at 1.

--- /dev/null
+++ b/pkg/retrier/retrier.go
@@ -0,0 +1,179 @@
+// Package retrier decides whether and when a failed attempt is repeated.
+//
+// Retries are limited to a share of first attempts plus a fixed rate, for each
+// team and pool, so that a pool in trouble does not receive a multiple of its
+// load. In any interval of T seconds with F first attempts, a budget allows at
+// most Ratio*F + PerSecond*T + Saved + 1 retries; counted from the first use of
+// the budget it is Ratio*F + PerSecond*T + 1. Saved is the unused credit of earlier
+// first attempts, and 1 the credit of an idle budget.
+//
+// The types do no I/O, read no clock and are not safe for concurrent use.
+package retrier
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/comfreyford/comfreyford/pkg/configurer"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("retrier")
+
+var (
+	// ErrBudgetSpent means that the team has no retry left for this pool now.
+	ErrBudgetSpent = errors.New("retry budget spent")
+	// ErrDeadline means that a retry could not finish before the deadline.
+	ErrDeadline = errors.New("deadline too close for a retry")
+)
+
+// The default values of Config.
+const (
+	DefaultRatio     = 0.1 // retries per first attempt
+	DefaultPerSecond = 1.0 // retries per second
+	DefaultSaved     = 10.0
+	DefaultBase      = 50 * time.Millisecond
+	DefaultMax       = 5 * time.Second
+)
+
+// Config configures a Retrier. Zero values select the defaults.
+type Config struct {
+	Ratio     float64       // retries per first attempt
+	PerSecond float64       // further retries per second
+	Saved     float64       // most retries that first attempts save up for later
+	Base      time.Duration // upper end of the delay before the first retry
+	Max       time.Duration // upper end of any delay
+	MinRun    time.Duration // time that a retry needs before the deadline to be worthwhile
+}
+
+// Key names a budget.
+type Key struct {
+	Team string
+	Pool string
+}
+
+// Retrier holds the retry budgets of one entry daemon.
+type Retrier struct {
+	cfg     Config
+	budgets map[Key]*budget
+}
+
+type budget struct {
+	earned float64 // from first attempts, at most cfg.Saved
+	timed  float64 // from the passing of time, at most 1
+	last   time.Time
+}
+
+// New returns a Retrier without budgets; each starts with its first use.
+func New(cfg Config) *Retrier {
+	return &Retrier{
+		cfg: Config{
+			Ratio:     orDefault(cfg.Ratio, DefaultRatio),
+			PerSecond: orDefault(cfg.PerSecond, DefaultPerSecond),
+			Saved:     orDefault(cfg.Saved, DefaultSaved),
+			Base:      orDefault(cfg.Base, DefaultBase),
+			Max:       orDefault(cfg.Max, DefaultMax),
+			MinRun:    cfg.MinRun,
+		},
+		budgets: map[Key]*budget{},
+	}
+}
+
+func orDefault[V float64 | time.Duration](v, def V) V {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
+
+// FirstAttempt counts the first attempt of a request.
+func (r *Retrier) FirstAttempt(now time.Time, k Key) {
+	b := r.budget(now, k)
+	b.earned = min(b.earned+r.cfg.Ratio, r.cfg.Saved)
+}
+
+// Retry spends one retry and returns when it may start. attempt is 1 for the first
+// retry. Errors wrap ErrDeadline or ErrBudgetSpent; nothing was spent then.
+func (r *Retrier) Retry(now time.Time, k Key, attempt int, deadline time.Time, rng *rand.Rand) (time.Time, error) {
+	at := now.Add(r.Delay(attempt, rng))
+	if !at.Add(r.cfg.MinRun).Before(deadline) {
+		return time.Time{}, Error.Wrap(ErrDeadline)
+	}
+	if !r.budget(now, k).spend() {
+		return time.Time{}, Error.Wrap(ErrBudgetSpent)
+	}
+	return at, nil
+}
+
+// Delay returns a random delay between 0 and Base doubled attempt-1 times, at most Max.
+// The whole range is random, so that requests that failed together spread out.
+func (r *Retrier) Delay(attempt int, rng *rand.Rand) time.Duration {
+	limit := r.cfg.Base
+	for i := 1; i < attempt && limit < r.cfg.Max; i++ {
+		limit *= 2
+	}
+	limit = min(limit, r.cfg.Max)
+	return time.Duration(rng.Int64N(int64(limit) + 1))
+}
+
+// Prune forgets the budgets that were not used for at least idle. A budget that starts
+// again has no credit, so pruning never allows more retries.
+func (r *Retrier) Prune(now time.Time, idle time.Duration) {
+	for k, b := range r.budgets {
+		if now.Sub(b.last) >= idle {
+			delete(r.budgets, k)
+		}
+	}
+}
+
+func (r *Retrier) budget(now time.Time, k Key) *budget {
+	b := r.budgets[k]
+	if b == nil {
+		b = &budget{last: now}
+		r.budgets[k] = b
+	}
+	if passed := now.Sub(b.last); passed > 0 {
+		b.timed = min(b.timed+r.cfg.PerSecond*passed.Seconds(), 1)
+		b.last = now
+	}
+	return b
+}
+
+// tolerance makes up for the rounding of ten times 0.1.
+const tolerance = 1e-9
+
+func (b *budget) spend() bool {
+	switch {
+	case b.timed >= 1-tolerance:
+		b.timed--
+	case b.earned >= 1-tolerance:
+		b.earned--
+	case b.timed+b.earned >= 1-tolerance:
+		b.earned -= 1 - b.timed
+		b.timed = 0
+	default:
+		return false
+	}
+	return true
+}
+
+// The time that a request has when its caller states none.
+const (
+	DefaultTimeout           = 30 * time.Second // caller on the line
+	DefaultDeferrableTimeout = time.Hour
+)
+
+// Deadline returns the deadline of a request that arrives now. A timeout that is
+// not positive selects the default of the class.
+func Deadline(now time.Time, timeout time.Duration, class configurer.Class) time.Time {
+	if timeout <= 0 {
+		timeout = DefaultTimeout
+		if class == configurer.ClassDeferrable {
+			timeout = DefaultDeferrableTimeout
+		}
+	}
+	return now.Add(timeout)
+}
