planner: fleet document, maintenance waves and their driver

Change: the fleet document of a region, pure transitions, one function (Plan) that returns the document after everything that is due, and a driver that commits it by compare-and-swap with operation ids under a lease and requests the reboots that the document records as open. A VM whose reboot the platform has not confirmed never serves, so a request of a paused leaseholder that arrives late hits no serving VM. Ruled out: fencing reboots by the lease, which a paused holder outlives. Ruled out: leaving failed VMs out of the rule of one rack per pool; a failed VM therefore holds back drains in other racks until it returns or is removed. Conclusion: the budgets rest on the compare-and-swap alone.

--- /dev/null
+++ b/pkg/planner/document.go
@@ -0,0 +1,208 @@
+// Package planner moves VMs between pools and takes them through maintenance.
+//
+// The fleet document of a region maps each VM to one record, so a VM has one pool
+// by construction. Every change is a pure transition from one document to the
+// next; budgets are checked inside the transition and therefore inside the
+// compare-and-swap that commits it. The Driver performs transitions under a
+// maintenance lease, but no guarantee rests on the lease: a former leaseholder
+// fails to commit, and a reboot that it requests late is one that the document
+// still records as open.
+package planner
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+
+	"github.com/comfreyford/comfreyford/pkg/configurer"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("planner")
+
+var (
+	// ErrUnknownVM means that the fleet has no such VM.
+	ErrUnknownVM = errors.New("unknown VM")
+	// ErrVMExists means that the fleet has a VM of this name.
+	ErrVMExists = errors.New("VM exists")
+	// ErrUnknownPool means that the settings have no such pool in this region.
+	ErrUnknownPool = errors.New("unknown pool")
+	// ErrWrongPool means that the VM is in another pool than the caller assumed.
+	ErrWrongPool = errors.New("VM is in another pool")
+	// ErrState means that the VM is in a state that does not allow the transition.
+	ErrState = errors.New("VM state does not allow this")
+	// ErrBudget means that the pool would have more unavailable VMs than its budget.
+	ErrBudget = errors.New("availability budget used up")
+	// ErrRack means that VMs of another rack of the pool are unavailable.
+	ErrRack = errors.New("another rack of the pool is unavailable")
+	// ErrMinimum means that the pool would have fewer VMs than its minimum.
+	ErrMinimum = errors.New("pool at its minimum")
+	// ErrSlow means that the wave waits because of earlier failures.
+	ErrSlow = errors.New("wave slowed down after failures")
+	// ErrUnknownWave means that the fleet has no such wave.
+	ErrUnknownWave = errors.New("unknown wave")
+	// ErrWaveState means that the wave is in a state that does not allow the transition.
+	ErrWaveState = errors.New("wave state does not allow this")
+)
+
+// State is the state of a VM.
+type State string
+
+// The states of a VM. A VM is available to its pool only while it serves.
+const (
+	StateServing   State = "serving"
+	StateDraining  State = "draining"  // receives no new work; the reboot was not requested yet
+	StateRebooting State = "rebooting" // the reboot may be requested at any time
+	StateReturning State = "returning" // rebooted, not yet live
+	StateFailed    State = "failed"
+)
+
+// VM is the record of one VM.
+type VM struct {
+	Pool             string `cbor:"1,keyasint"`
+	Rack             string `cbor:"2,keyasint"`
+	AvailabilityZone string `cbor:"3,keyasint"`
+	State            State  `cbor:"4,keyasint"`
+	SinceMS          int64  `cbor:"5,keyasint"`           // Unix time of the last change of state
+	Operation        string `cbor:"6,keyasint,omitempty"` // reboot that the platform has not confirmed
+	Wave             string `cbor:"7,keyasint,omitempty"` // wave that takes the VM through maintenance
+}
+
+// WaveState is the progress of a wave.
+type WaveState string
+
+// The states of a wave. The last three are final.
+const (
+	WaveRunning  WaveState = "running"
+	WavePaused   WaveState = "paused"
+	WaveAborted  WaveState = "aborted"  // by operators
+	WaveStopped  WaveState = "stopped"  // too many VMs did not return
+	WaveFinished WaveState = "finished" // every VM was maintained, failed or left the fleet
+)
+
+// Reason tells why a wave is paused.
+type Reason string
+
+// The reasons of a pause. A wave that paused itself continues by itself.
+const (
+	ReasonOperator Reason = "operator"
+	ReasonBudget   Reason = "failed VMs use up the budget"
+)
+
+// Wave is the progress of a maintenance wave over the VMs that a pool had at its start.
+// A VM that has moved to another pool since is maintained within the budget of that pool.
+type Wave struct {
+	Pool          string    `cbor:"1,keyasint"`
+	State         WaveState `cbor:"2,keyasint"`
+	Reason        Reason    `cbor:"3,keyasint,omitempty"`
+	FailureLimit  int       `cbor:"4,keyasint"`
+	Pending       []string  `cbor:"5,keyasint"` // not drained yet
+	Done          []string  `cbor:"6,keyasint"` // rebooted and serving
+	Failed        []string  `cbor:"7,keyasint"` // did not return in time, or failed while draining
+	Skipped       []string  `cbor:"8,keyasint"` // failed before the wave reached them
+	Streak        int       `cbor:"9,keyasint"` // VMs returned since the last failure
+	LastFailureMS int64     `cbor:"10,keyasint"`
+	StartedMS     int64     `cbor:"11,keyasint"`
+	EndedMS       int64     `cbor:"12,keyasint,omitempty"`
+}
+
+// Fleet is the document fleet/<region>.
+type Fleet struct {
+	Region string          `cbor:"1,keyasint"`
+	VMs    map[string]VM   `cbor:"2,keyasint"`
+	Waves  map[string]Wave `cbor:"3,keyasint"`
+	Recent []string        `cbor:"4,keyasint"` // operation ids of the last writes, the latest last
+
+	owned bool // transitions may change the maps in place; set only inside Plan
+}
+
+// Pools are the pools of the settings tree.
+type Pools map[string]configurer.Pool
+
+// recentLimit is the number of operation ids kept. A writer looks for its id within
+// seconds, and a region has below one write per second.
+const recentLimit = 64
+
+// The default values of settings that are zero.
+const (
+	DefaultMaxUnavailable = 1
+	DefaultFailureLimit   = 2
+)
+
+// Decode reads a fleet document. Empty data is a fleet without VMs.
+func Decode(region string, data []byte) (Fleet, error) {
+	f := Fleet{Region: region}
+	if len(data) > 0 {
+		if err := cbor.Unmarshal(data, &f); err != nil {
+			return Fleet{}, Error.New("fleet/%s: not a fleet document: %w", region, err)
+		}
+	}
+	if f.VMs == nil {
+		f.VMs = map[string]VM{}
+	}
+	if f.Waves == nil {
+		f.Waves = map[string]Wave{}
+	}
+	return f, nil
+}
+
+// Encode returns the stored form of the document.
+func (f Fleet) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(f)
+	return data, Error.Wrap(err)
+}
+
+// Unavailable returns the VMs of a pool that do not serve, planned and failed, sorted by name.
+func (f Fleet) Unavailable(pool string) (planned, failed []string) {
+	for id, vm := range f.VMs {
+		switch {
+		case vm.Pool != pool || vm.State == StateServing:
+		case vm.State == StateFailed:
+			failed = append(failed, id)
+		default:
+			planned = append(planned, id)
+		}
+	}
+	slices.Sort(planned)
+	slices.Sort(failed)
+	return planned, failed
+}
+
+// clone copies the maps, which transitions change. Lists of a wave are replaced, not changed.
+// Plan copies once for all its transitions: a copy for each took 0.3 s when 1,200 VMs failed.
+func (f Fleet) clone() Fleet {
+	if f.owned {
+		return f
+	}
+	f.VMs = maps.Clone(f.VMs)
+	f.Waves = maps.Clone(f.Waves)
+	return f
+}
+
+func (p Pools) budget(pool string) int {
+	if n := p[pool].MaxUnavailable; n > 0 {
+		return n
+	}
+	return DefaultMaxUnavailable
+}
+
+func (w Wave) final() bool {
+	return w.State == WaveAborted || w.State == WaveStopped || w.State == WaveFinished
+}
+
+func without(list []string, id string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(other string) bool { return other == id })
+}
+
+func with(list []string, id string) []string {
+	if slices.Contains(list, id) {
+		return list
+	}
+	return append(slices.Clone(list), id)
+}
+
+func millis(t time.Time) int64 { return t.UnixMilli() }
