Add pkg/registrar: members, heartbeats, promises and freshness

Change: State holds the decisions as pure methods with the time passed in; Registrar does the I/O through storer.Store and Peers. Faults found in the design, and how each is mended here: - Members that start together wait for each other for ever, because each finds the others' unmarked records. A member is now also established when every known member answers that it is not established (State.Founding). - A giver with a change or reclaim under way could break its promise. It refuses while one is pending, and it refuses an asker with an older revision. - An asker's list can lack a member that was confirmed since. Ruled out: skipping expired members in promise rounds (a cut-off member that comes back can commit), and counting "no call made" as "service down".

--- /dev/null
+++ b/pkg/registrar/run.go
@@ -0,0 +1,172 @@
+package registrar
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// tick is the period of Run. Two rounds of promises fit into the validity of one.
+const tick = time.Second
+
+// recordRetention is how long the record of a member that left is kept.
+const recordRetention = time.Hour
+
+// Begin starts a fenced change; see State.Begin. The returned function ends it and
+// must be called only when the outcome is known.
+func (r *Registrar) Begin(established bool) (end func(), err error) {
+	r.Do(func(s *State, now time.Time) { err = s.Begin(established, now) })
+	if err != nil {
+		return nil, err
+	}
+	var once sync.Once
+	return func() { once.Do(func() { r.Do(func(s *State, _ time.Time) { s.End() }) }) }, nil
+}
+
+// Reclaimable is State.Reclaimable.
+func (r *Registrar) Reclaimable(entry string, incarnation uint64) bool {
+	var ok bool
+	r.Do(func(s *State, _ time.Time) { ok = s.Reclaimable(entry, incarnation) })
+	return ok
+}
+
+// Epoch is State.Epoch, together with the rank of this member among the live ones.
+func (r *Registrar) Epoch() (epoch string, rank int) {
+	r.Do(func(s *State, now time.Time) {
+		epoch = s.Epoch()
+		for i, name := range s.Live(now) {
+			if name == s.Self.Entry {
+				rank = i
+			}
+		}
+	})
+	return epoch, rank
+}
+
+// Tidy marks the records of members whose VM is gone as left, since they cannot do
+// it themselves, and deletes records one hour after their member left. A heartbeat
+// that comes in between wins, because both are fenced by the version of the record.
+func (r *Registrar) Tidy(ctx context.Context) error {
+	var due []Member
+	r.Do(func(s *State, _ time.Time) {
+		for entry, o := range s.Others {
+			old := o.Member.Left && s.ListStart.Sub(o.Replaced) >= recordRetention
+			if old || !o.Member.Left && s.Gone(entry) {
+				due = append(due, o.Member)
+			}
+		}
+	})
+	for _, m := range due {
+		if err := r.tidy(ctx, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Registrar) tidy(ctx context.Context, seen Member) error {
+	end, err := r.Begin(true)
+	if err != nil {
+		return err
+	}
+	item, err := r.get(ctx, seen.Key())
+	if err != nil {
+		end()
+		return err
+	}
+	m, err := DecodeMember(item.Value)
+	if err != nil || m != seen {
+		end()
+		return err
+	}
+	m.Left = true
+	value, err := m.Encode()
+	if err != nil {
+		end()
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Timing.CallTimeout)
+	defer cancel()
+	start := time.Now()
+	if seen.Left {
+		err = r.cfg.Store.Delete(ctx, seen.Key(), item.Version)
+	} else {
+		_, err = r.cfg.Store.CompareAndSwap(ctx, storer.Write{
+			Key:      seen.Key(),
+			Value:    value,
+			Expected: item.Version,
+		})
+	}
+	r.Observe(start, err)
+	// A delayed write harms nobody: it takes effect only if the record of a member
+	// whose VM is gone has not changed, so the change need not stay pending.
+	end()
+	if err != nil && !errors.Is(err, storer.ErrConflict) {
+		return Error.Wrap(err)
+	}
+	return nil
+}
+
+// Run sends heartbeats, refreshes the member list and asks for promises during an
+// outage, until ctx ends. It returns ErrSuperseded when the record belongs to
+// another incarnation; the process must then stop.
+func (r *Registrar) Run(ctx context.Context) error {
+	var beat time.Time // next heartbeat
+	for {
+		now := time.Now()
+		if !now.Before(beat) {
+			beat = now.Add(r.cfg.Timing.HeartbeatInterval)
+			if err := r.maintain(ctx); errors.Is(err, ErrSuperseded) {
+				return err
+			} else if err != nil {
+				beat = now.Add(tick)
+			}
+		}
+		r.extendIfNeeded(ctx)
+		select {
+		case <-ctx.Done():
+			return Error.Wrap(ctx.Err())
+		case <-time.After(tick):
+		}
+	}
+}
+
+func (r *Registrar) maintain(ctx context.Context) error {
+	if err := r.Heartbeat(ctx); err != nil {
+		return err
+	}
+	if r.cfg.ReadsMembers == nil || r.cfg.ReadsMembers() {
+		if err := r.RefreshMembers(ctx); err != nil {
+			return err
+		}
+	}
+	if err := r.Establish(ctx); err != nil {
+		return err
+	}
+	return r.Tidy(ctx)
+}
+
+// extendIfNeeded asks for promises when the proof of the head or the right grows old.
+func (r *Registrar) extendIfNeeded(ctx context.Context) {
+	var needed, probe bool
+	t := r.cfg.Timing
+	r.Do(func(s *State, now time.Time) {
+		old := now.Sub(s.Proof) > t.StalenessLimit/3 || !s.Right.Valid(now.Add(t.StalenessLimit))
+		needed = old && !s.EstablishedAt.IsZero()
+		probe = needed && now.Sub(s.LastSuccess) >= t.StalenessLimit && now.Sub(s.LastFailure) >= t.StalenessLimit
+	})
+	if probe {
+		// The outcome of the call is recorded; only that matters here.
+		_, _ = r.get(ctx, r.cfg.Self.Key())
+	}
+	if needed {
+		r.Do(func(s *State, now time.Time) { needed = s.Unreachable(now) })
+	}
+	if needed {
+		// A refusal leaves freshness and right as they are; the next turn asks again.
+		_ = r.ExtendByPromises(ctx)
+	}
+}
