--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -78,8 +78,8 @@
 // Heartbeat writes the own record once. The first one joins.
 func (r *Registrar) Heartbeat(ctx context.Context) error { return r.beat(ctx, false) }
 
-// Leave marks the own record as left. The caller must have stopped all work and
-// handed back its allowances.
+// Leave marks the own record as left; later heartbeats fail. The caller must have
+// stopped all work and handed back its allowances.
 func (r *Registrar) Leave(ctx context.Context) error {
 	var pending bool
 	r.Do(func(s *State, now time.Time) { pending = s.Pending > 0 || now.Before(s.PromisedUntil) })
@@ -92,6 +92,11 @@
 func (r *Registrar) beat(ctx context.Context, left bool) error {
 	r.beatMu.Lock()
 	defer r.beatMu.Unlock()
+	var gone bool
+	r.Do(func(s *State, _ time.Time) { gone = s.Self.Left })
+	if gone {
+		return Error.Wrap(ErrSuperseded)
+	}
 	start := time.Now()
 	if r.beatValue == nil || r.beatMember.Left != left {
 		if err := r.prepareBeat(ctx, left); err != nil {
--- a/pkg/registrar/run.go
+++ b/pkg/registrar/run.go
@@ -125,6 +125,8 @@
 				beat = now.Add(tick)
 			}
 		}
+		// A refusal leaves the member as it is; the next turn asks again.
+		_ = r.Establish(ctx)
 		r.extendIfNeeded(ctx)
 		select {
 		case <-ctx.Done():
@@ -143,10 +145,10 @@
 			return err
 		}
 	}
-	if err := r.Establish(ctx); err != nil {
+	if err := r.Tidy(ctx); err != nil && !errors.Is(err, ErrNotEstablished) && !errors.Is(err, ErrPromised) {
 		return err
 	}
-	return r.Tidy(ctx)
+	return nil
 }
 
 // extendIfNeeded asks for promises when the proof of the head or the right grows old.
--- a/pkg/registrar/state.go
+++ b/pkg/registrar/state.go
@@ -214,7 +214,7 @@
 		return true
 	}
 	wait := s.Timing.ReplacedAfter()
-	return o.Listed && s.ListStart.Sub(o.GoneSince) >= wait && s.ListStart.Sub(o.Since) >= wait
+	return o.Listed && s.ListStart.Sub(o.GoneSince) >= wait
 }
 
 // Reclaimable tells whether no work of the holder can run any more, as of the last
