Test that settings load and that a stored change is an error

Cause: no test loaded a settings file whose certificate files are right, and none covered the output of a change that is not in force.

Change: one test with a generated certificate, one of the report of missing members.

--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -6,10 +6,12 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/urfave/cli/v3"
 
 	"github.com/comfreyford/comfreyford/internal/server"
 	"github.com/comfreyford/comfreyford/pkg/configurer"
@@ -65,3 +67,16 @@
 		},
 	})
 }
+
+// Guards against scripts that go on before a change is in force everywhere.
+func TestStoredChangeIsAnErrorThatNamesMembers(t *testing.T) {
+	var out strings.Builder
+	err := report(&cli.Command{Writer: &out}, server.ChangeAnswer{
+		Revision: 7,
+		State:    server.ChangeStored,
+		Missing:  []string{"entry-2", "entry-5"},
+	})
+	if want := "revision 7 is stored but not in force; missing members: entry-2, entry-5"; err == nil || err.Error() != want || out.Len() > 0 {
+		t.Errorf("got %v and %q, want %q", err, out.String(), want)
+	}
+}
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -1,7 +1,13 @@
 package loader
 
 import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
 	"errors"
+	"math/big"
 	"os"
 	"path/filepath"
 	"strings"
@@ -126,6 +132,53 @@
 	}
 }
 
+// writePair writes a self-signed certificate, which is also its own CA, and its key.
+func writePair(t *testing.T, dir string) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		NotAfter:     time.Now().Add(time.Hour),
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, block := range map[string]*pem.Block{
+		"entry.pem":     {Type: "CERTIFICATE", Bytes: certificate},
+		"ca.pem":        {Type: "CERTIFICATE", Bytes: certificate},
+		"entry-key.pem": {Type: "PRIVATE KEY", Bytes: private},
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against refused files that are right, and against paths that depend on the working directory.
+func TestLoadResolvesPathsFromTheFolderOfTheFile(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "entry.toml")
+	if err := os.WriteFile(path, []byte(valid), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	writePair(t, dir)
+	s, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.CertificateFile != filepath.Join(dir, "entry.pem") || s.CAFiles[0] != filepath.Join(dir, "ca.pem") {
+		t.Errorf("got %q and %q", s.CertificateFile, s.CAFiles)
+	}
+}
+
 // Guards against rows of the table that no file can satisfy.
 func TestTable(t *testing.T) {
 	seen := map[string]bool{}
