--- /dev/null
+++ b/internal/coordinator/entry.go
@@ -0,0 +1,468 @@
+// Package coordinator makes one entry daemon of its parts: it carries messages
+// between peers, keeps configuration, membership and targets up to date, and runs
+// everything as a supervisor tree.
+package coordinator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+
+	"github.com/comfreyford/comfreyford/internal/dispatcher"
+	"github.com/comfreyford/comfreyford/internal/loader"
+	"github.com/comfreyford/comfreyford/internal/messenger"
+	"github.com/comfreyford/comfreyford/internal/recorder"
+	"github.com/comfreyford/comfreyford/internal/server"
+	"github.com/comfreyford/comfreyford/internal/supervisor"
+	"github.com/comfreyford/comfreyford/pkg/authenticator"
+	"github.com/comfreyford/comfreyford/pkg/configurer"
+	"github.com/comfreyford/comfreyford/pkg/journaler"
+	"github.com/comfreyford/comfreyford/pkg/limiter"
+	"github.com/comfreyford/comfreyford/pkg/lister"
+	"github.com/comfreyford/comfreyford/pkg/planner"
+	"github.com/comfreyford/comfreyford/pkg/registrar"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("coordinator")
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// startTimeout bounds the search for a configuration at start. Longer than two
+	// calls to the platform, so that one lost answer does not end the process.
+	startTimeout = 10 * time.Second
+	// drainTimeout bounds a graceful stop; requests have their own deadlines.
+	drainTimeout = time.Hour
+	leaveTimeout = 5 * time.Second
+)
+
+// Config configures an Entry.
+type Config struct {
+	Settings loader.Settings
+	Logger   hclog.Logger
+}
+
+// Entry is one entry daemon.
+type Entry struct {
+	cfg         Config
+	incarnation uint64
+	store       storer.Store
+	platform    *lister.Client
+	messenger   *messenger.Messenger
+	peers       *peers
+	registrar   *registrar.Registrar
+	view        *configurer.View
+	holder      *limiter.Holder
+	limits      *limiter.Keeper
+	journal     *journaler.Journal
+	pacer       *journaler.Pacer
+	dispatcher  *dispatcher.Dispatcher
+	driver      *planner.Driver
+	recorder    *recorder.Recorder
+	keys        atomic.Pointer[authenticator.Index]
+	servers     []*http.Server
+	listeners   []net.Listener
+	ready       atomic.Bool
+	settled     settled
+	wg          sync.WaitGroup
+}
+
+// New builds an entry daemon and opens its listeners, so that a taken port or a
+// bad certificate is found before anything runs.
+func New(cfg Config) (*Entry, error) {
+	e := &Entry{
+		cfg:         cfg,
+		incarnation: incarnation(),
+		peers:       newPeers(cfg.Logger.Named("peers")),
+		view:        configurer.NewView(cfg.Logger.Named("config")),
+		pacer:       &journaler.Pacer{},
+	}
+	e.pacer.SetRate(journalWritesPerSecond)
+	r, err := recorder.New()
+	if err != nil {
+		return nil, err
+	}
+	e.recorder = r
+	e.store = e.countCalls(storer.NewClient(storer.ClientConfig{
+		Address: cfg.Settings.PlatformAddress,
+		Timeout: cfg.Settings.PlatformTimeout,
+	}))
+	e.platform = lister.NewClient(lister.ClientConfig{
+		Address: cfg.Settings.PlatformAddress,
+		Timeout: cfg.Settings.PlatformTimeout,
+	})
+	if err := e.openMessenger(); err != nil {
+		return nil, err
+	}
+	e.buildParts()
+	e.useTree(e.view.Current().Tree)
+	if err := e.openServers(); err != nil {
+		return nil, errors.Join(err, e.messenger.Close())
+	}
+	return e, e.observeGauges()
+}
+
+func incarnation() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails, by its documentation
+	return binary.BigEndian.Uint64(b[:]) | 1
+}
+
+func (e *Entry) logger(part string) hclog.Logger {
+	return e.cfg.Logger.Named(part)
+}
+
+func (e *Entry) openMessenger() error {
+	s := e.cfg.Settings
+	tls, err := messenger.LoadTLS(messenger.Files{
+		Certificate: s.CertificateFile,
+		Key:         s.PrivateKeyFile,
+		CAs:         s.CAFiles,
+	})
+	if err != nil {
+		return err
+	}
+	m, err := messenger.New(messenger.Config{
+		Listen: s.PeerAddress,
+		TLS:    tls,
+		Logger: e.logger("peers"),
+		Handlers: map[messenger.Kind]messenger.Handler{
+			kindPollConfig:        messenger.Unary(e.servePoll),
+			kindReport:            messenger.Unary(e.serveReport),
+			kindRequestPromise:    messenger.Unary(e.servePromise),
+			kindConfirmMember:     messenger.Unary(e.serveConfirm),
+			kindTransferAllowance: messenger.Unary(e.serveTransfer),
+			kindForward:           e.serveForward,
+			kindForwardJob:        e.serveForwardJob,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	e.messenger = m
+	e.peers.messenger = m
+	return nil
+}
+
+func (e *Entry) buildParts() {
+	s := e.cfg.Settings
+	timing := registrar.DefaultTiming()
+	timing.HeartbeatInterval = s.HeartbeatInterval
+	e.registrar = registrar.New(registrar.Config{
+		Store: e.store,
+		Peers: e.peers,
+		Self: registrar.Member{
+			Entry:            s.Name,
+			Incarnation:      e.incarnation,
+			Address:          e.messenger.Addr(),
+			AvailabilityZone: s.AvailabilityZone,
+		},
+		Timing: timing,
+	})
+	e.holder = limiter.NewHolder(limiter.HolderID{
+		Entry:       s.Name,
+		Incarnation: e.incarnation,
+	}, e.registrar.Right)
+	e.limits = limiter.NewKeeper(limiter.Config{
+		Store:       e.store,
+		Members:     e.registrar,
+		Peers:       e.peers,
+		Holder:      e.holder,
+		CallTimeout: timing.CallTimeout,
+	})
+	e.dispatcher = dispatcher.New(dispatcher.Config{
+		Entry:            s.Name,
+		AvailabilityZone: s.AvailabilityZone,
+		Tree:             func() *configurer.Tree { return e.view.Current().Tree },
+		Fresh:            e.registrar.Fresh,
+		Holder:           e.holder,
+		Peers:            e.peers,
+		Recorder:         e.recorder,
+		Logger:           e.logger("dispatch"),
+		MaxRequestBytes:  s.RequestBodyLimitBytes,
+		MaxAnswerBytes:   s.AnswerBodyLimitBytes,
+		Seed:             e.incarnation,
+	})
+	e.journal = journaler.New(journaler.Config{
+		Store:           e.store,
+		Entry:           s.Name,
+		Limiter:         e.pacer,
+		Targets:         e.dispatcher.Target,
+		Dispatcher:      e.dispatcher,
+		Logger:          e.logger("journal"),
+		RecoveryTimeout: s.RecoveryTimeout,
+		RenewInterval:   s.SessionRenewalInterval,
+	})
+	e.dispatcher.SetJournal(e.journal)
+	e.driver = planner.NewDriver(planner.Config{
+		Holder:   s.Name + "/" + hex.EncodeToString(binary.BigEndian.AppendUint64(nil, e.incarnation)),
+		Region:   s.Region,
+		Store:    e.store,
+		Platform: platform{lister: e.platform},
+		Settings: func() planner.Settings {
+			tree := e.view.Current().Tree
+			return planner.Settings{
+				Pools: tree.Pools,
+				Waves: tree.Waves,
+			}
+		},
+		NewID: uuid.NewString,
+	})
+}
+
+// platform adapts the VM list to what maintenance needs.
+type platform struct {
+	lister lister.Lister
+}
+
+// Reboot implements planner.Platform.
+func (p platform) Reboot(ctx context.Context, vm, operation string) error {
+	return p.lister.Reboot(ctx, vm, operation)
+}
+
+// VMs implements planner.Platform.
+func (p platform) VMs(ctx context.Context) ([]planner.VMStatus, error) {
+	vms, err := p.lister.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	list := make([]planner.VMStatus, 0, len(vms))
+	for _, vm := range vms {
+		list = append(list, planner.VMStatus{
+			ID:        vm.Name,
+			Live:      vm.State == lister.StateLive,
+			Operation: vm.Operation,
+		})
+	}
+	return list, nil
+}
+
+// Run serves until ctx is done and then stops gracefully.
+func (e *Entry) Run(ctx context.Context) error {
+	messages, stopMessages := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopMessages()
+	e.wg.Go(func() {
+		if err := e.messenger.Serve(messages); err != nil {
+			e.logger("peers").Error("peers not served", "error", err)
+		}
+	})
+	if err := e.firstConfig(ctx); err != nil {
+		return errors.Join(err, e.close())
+	}
+	tree := supervisor.Start(supervisor.Config{
+		Logger:    e.logger("supervisor"),
+		OnRestart: e.recorder.Restart,
+	}, e.components())
+	e.serve()
+	e.ready.Store(true)
+	e.logger("entry").Info("serving", "name", e.cfg.Settings.Name, "callers", e.listeners[0].Addr().String())
+	<-ctx.Done()
+	e.drain(context.WithoutCancel(ctx))
+	err := tree.Stop()
+	e.leave(context.WithoutCancel(ctx))
+	return errors.Join(err, e.close())
+}
+
+// components is the supervisor tree. Later ones depend on earlier ones.
+func (e *Entry) components() supervisor.Component {
+	return supervisor.Component{
+		Name: "entry",
+		Children: []supervisor.Component{
+			{
+				Name: "configuration",
+				Children: []supervisor.Component{
+					{
+						Name: "config_sync",
+						Run:  e.syncConfig,
+					},
+					{
+						Name: "config_watch",
+						Run:  e.watchConfig,
+					},
+					{
+						Name: "config_apply",
+						Run:  e.applyConfig,
+					},
+				},
+			},
+			{
+				Name: "membership",
+				Children: []supervisor.Component{
+					{
+						Name: "registrar",
+						Run:  ignoreDone(e.registrar.Run),
+					},
+					{
+						Name: "reports",
+						Run:  e.sendReports,
+					},
+					{
+						Name: "members",
+						Run:  e.followMembers,
+					},
+					{
+						Name: "limits",
+						Run:  ignoreDone(e.limits.Run),
+					},
+				},
+			},
+			{
+				Name: "fleet",
+				Children: []supervisor.Component{
+					{
+						Name: "targets",
+						Run:  e.syncFleet,
+					},
+					{
+						Name: "maintenance",
+						Run:  e.maintain,
+					},
+				},
+			},
+			{
+				Name: "dispatch",
+				Run:  e.dispatcher.Run,
+			},
+		},
+	}
+}
+
+// ignoreDone makes the end of ctx no error.
+func ignoreDone(run func(ctx context.Context) error) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		if err := run(ctx); ctx.Err() == nil {
+			return err
+		}
+		return nil
+	}
+}
+
+// firstConfig reads the configuration from the key-value service or, while that is
+// down, from a peer. Without either there is nothing to serve.
+func (e *Entry) firstConfig(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		start := time.Now()
+		err := e.view.Refresh(ctx, e.store)
+		e.registrar.Observe(start, err)
+		if err == nil {
+			return nil
+		}
+		for _, address := range e.cfg.Settings.ContactPeers {
+			perr := e.pollAddress(ctx, address, time.Now())
+			if perr == nil || errors.Is(perr, errNotProved) {
+				return nil
+			}
+		}
+		if !pause(ctx, time.Second) {
+			return Error.New("no configuration: platform %s and the contact peers do not answer: %w", e.cfg.Settings.PlatformAddress, err)
+		}
+	}
+}
+
+// drain stops gracefully: callers are told to go elsewhere, and what runs finishes.
+func (e *Entry) drain(ctx context.Context) {
+	e.ready.Store(false)
+	e.logger("entry").Info("draining")
+	// The balancer sees the readiness change while requests are still taken.
+	time.Sleep(e.cfg.Settings.DrainDelay)
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	if err := e.dispatcher.Drain(ctx); err != nil {
+		e.logger("entry").Warn("requests still running", "error", err)
+	}
+	for _, s := range e.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			e.logger("entry").Warn("connections still open", "error", err)
+		}
+	}
+	e.journal.Close(ctx)
+}
+
+// leave hands the allowances back and marks the member record as left.
+func (e *Entry) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := e.limits.Leave(ctx); err != nil {
+		e.logger("limits").Warn("allowance not handed back", "error", err)
+		return
+	}
+	if err := e.registrar.Leave(ctx); err != nil {
+		e.logger("members").Warn("record not marked as left", "error", err)
+	}
+}
+
+func (e *Entry) close() error {
+	for _, s := range e.servers {
+		_ = s.Close()
+	}
+	for _, l := range e.listeners {
+		_ = l.Close()
+	}
+	e.dispatcher.Close()
+	err := e.messenger.Close()
+	e.wg.Wait()
+	return Error.Wrap(err)
+}
+
+// useKeys replaces the index of keys.
+func (e *Entry) useKeys(tree *configurer.Tree) {
+	e.keys.Store(authenticator.NewIndex(tree))
+}
+
+// authenticate checks a caller's key. A caller without a key may use open queues.
+func (e *Entry) authenticate(value string) (server.Credential, dispatcher.Reason) {
+	if value == "" {
+		return server.Credential{}, ""
+	}
+	credential, err := authenticator.ParseHeader(value)
+	if err != nil {
+		return server.Credential{}, dispatcher.ReasonKeyRefused
+	}
+	if !e.registrar.Fresh() {
+		return server.Credential{}, dispatcher.ReasonConfigStale
+	}
+	team, err := e.keys.Load().Verify(credential)
+	if err != nil {
+		return server.Credential{}, dispatcher.ReasonKeyRefused
+	}
+	return server.Credential{
+		Team:  team,
+		KeyID: credential.ID,
+	}, ""
+}
+
+func (e *Entry) servePromise(ctx context.Context, peer string, r registrar.PromiseRequest) (registrar.PromiseAnswer, error) {
+	if r.Entry != peer {
+		return registrar.PromiseAnswer{}, Error.New("request of %q came with the certificate of %q", r.Entry, peer)
+	}
+	return e.registrar.ServePromise(ctx, r), nil
+}
+
+func (e *Entry) serveConfirm(_ context.Context, peer string, r registrar.ConfirmRequest) (registrar.ConfirmAnswer, error) {
+	if r.Member.Entry != peer {
+		return registrar.ConfirmAnswer{}, Error.New("request of %q came with the certificate of %q", r.Member.Entry, peer)
+	}
+	return e.registrar.ServeConfirm(r), nil
+}
+
+func (e *Entry) serveTransfer(ctx context.Context, peer string, r limiter.TransferRequest) (limiter.TransferAnswer, error) {
+	if r.Taker.Entry != peer {
+		return limiter.TransferAnswer{}, Error.New("request of %q came with the certificate of %q", r.Taker.Entry, peer)
+	}
+	return e.limits.ServeTransfer(ctx, r)
+}
--- /dev/null
+++ b/internal/coordinator/servers.go
@@ -0,0 +1,248 @@
+package coordinator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/comfreyford/comfreyford/internal/recorder"
+	"github.com/comfreyford/comfreyford/internal/server"
+	"github.com/comfreyford/comfreyford/pkg/configurer"
+	"github.com/comfreyford/comfreyford/pkg/registrar"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// openServers opens the listeners of callers, operators and metrics.
+func (e *Entry) openServers() error {
+	s := e.cfg.Settings
+	var key [sha256.Size]byte
+	if _, err := hex.Decode(key[:], []byte(s.OperatorKeySHA256)); err != nil {
+		return Error.New("operator_key_sha256: %w", err)
+	}
+	operator := server.NewOperator(server.OperatorConfig{
+		Committer: &configurer.Committer{
+			Store: e.store,
+			View:  e.view,
+			Gate:  func() (func(), error) { return e.registrar.Begin(false) },
+		},
+		Members:        e,
+		KeySHA256:      key,
+		BodyLimitBytes: s.OperatorBodyLimitBytes,
+		Log:            e.logger("operator"),
+	})
+	for _, h := range []struct {
+		address string
+		handler http.Handler
+		name    string
+	}{
+		{
+			address: s.CallerAddress,
+			name:    "callers",
+			handler: server.NewCaller(server.CallerConfig{
+				Dispatcher:      e.dispatcher,
+				Authenticate:    e.authenticate,
+				MaxRequestBytes: s.RequestBodyLimitBytes,
+				Logger:          e.logger("callers"),
+			}),
+		},
+		{
+			address: s.OperatorAddress,
+			name:    "operator",
+			handler: operator,
+		},
+		{
+			address: s.MetricsAddress,
+			name:    "metrics",
+			handler: e.metricsHandler(),
+		},
+	} {
+		l, err := net.Listen("tcp", h.address)
+		if err != nil {
+			for _, open := range e.listeners {
+				_ = open.Close()
+			}
+			return Error.New("%s: %w", h.name, err)
+		}
+		e.listeners = append(e.listeners, l)
+		e.servers = append(e.servers, &http.Server{
+			Handler:           h.handler,
+			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idleTimeout,
+			ErrorLog:          e.logger(h.name).StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true}),
+		})
+	}
+	return nil
+}
+
+func (e *Entry) serve() {
+	for i, s := range e.servers {
+		e.wg.Go(func() {
+			if err := s.Serve(e.listeners[i]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				e.logger("entry").Error("listener failed", "error", err)
+			}
+		})
+	}
+}
+
+// metricsHandler serves metrics, health and readiness.
+func (e *Entry) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.recorder.Handler())
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !e.ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
+
+// settled remembers which limits are known to be in force.
+type settled struct {
+	mu      sync.Mutex
+	limits  map[string]int
+	changes map[uint64]time.Time // when a revision was first asked for
+}
+
+// Missing implements server.Members: the members that may still use an older
+// revision, and the teams whose lowered limit is not in force yet.
+func (e *Entry) Missing(revision uint64) []string {
+	change := registrar.Change{
+		Revision:  revision,
+		Committed: e.settled.first(revision, time.Now()),
+	}
+	var missing []string
+	var err error
+	e.registrar.Do(func(s *registrar.State, now time.Time) { missing, err = s.Missing(change, now) })
+	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
+	defer cancel()
+	if errors.Is(err, registrar.ErrPending) {
+		missing = append(missing, "member_list")
+		// The list that was read after the change names every member that may lack it.
+		if err := e.registrar.RefreshMembers(ctx); err != nil {
+			e.logger("operator").Debug("member list not read", "error", err)
+		}
+	}
+	return append(missing, e.settleLimits(ctx, revision)...)
+}
+
+// first returns when the revision was first asked for, which is after its commit.
+func (s *settled) first(revision uint64, now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changes == nil {
+		s.changes = map[uint64]time.Time{}
+		s.limits = map[string]int{}
+	}
+	at, ok := s.changes[revision]
+	if !ok {
+		at = now
+		s.changes[revision] = now
+		for old := range s.changes {
+			if old+configurer.HistoryRevisions < revision {
+				delete(s.changes, old)
+			}
+		}
+	}
+	return at
+}
+
+// settleLimits writes changed limits into their ledgers and returns those whose sum of
+// allowances is still above the limit.
+func (e *Entry) settleLimits(ctx context.Context, revision uint64) []string {
+	var missing []string
+	tree := e.view.Current().Tree
+	for name, team := range tree.Teams {
+		e.settled.mu.Lock()
+		limit, ok := e.settled.limits[name]
+		e.settled.mu.Unlock()
+		if ok && limit == team.Limit {
+			continue
+		}
+		done, err := e.limits.Settle(ctx, name, team.Limit, max(revision, tree.Revision))
+		if err != nil || !done {
+			missing = append(missing, "limit of "+name)
+			continue
+		}
+		e.settled.mu.Lock()
+		e.settled.limits[name] = team.Limit
+		e.settled.mu.Unlock()
+	}
+	return missing
+}
+
+// countCalls counts the calls to the key-value service.
+func (e *Entry) countCalls(store storer.Store) storer.Store {
+	return &storer.Faulty{
+		Store: store,
+		Before: func(_ context.Context, op storer.Op, _ string) error {
+			e.recorder.StoreCall(string(op), "sent")
+			return nil
+		},
+		After: func(_ context.Context, op storer.Op, _ string) error {
+			e.recorder.StoreCall(string(op), "answered")
+			return nil
+		},
+	}
+}
+
+// observeGauges registers the gauges.
+func (e *Entry) observeGauges() error {
+	one := func(value func() float64) func() []recorder.Sample {
+		return func() []recorder.Sample { return []recorder.Sample{{Value: value()}} }
+	}
+	teams := func(value func(team string) int) func() []recorder.Sample {
+		return func() []recorder.Sample {
+			var samples []recorder.Sample
+			for team := range e.view.Current().Tree.Teams {
+				samples = append(samples, recorder.Sample{
+					Value:  float64(value(team)),
+					Labels: []attribute.KeyValue{attribute.String("team", team)},
+				})
+			}
+			return samples
+		}
+	}
+	pools := func(usable bool) func() []recorder.Sample {
+		return func() []recorder.Sample {
+			var samples []recorder.Sample
+			for _, p := range e.dispatcher.Pools() {
+				value := p.Ejected
+				if usable {
+					value = p.Usable
+				}
+				samples = append(samples, recorder.Sample{
+					Value:  float64(value),
+					Labels: []attribute.KeyValue{attribute.String("pool", p.Pool)},
+				})
+			}
+			return samples
+		}
+	}
+	return errors.Join(
+		e.recorder.Observe(recorder.ConfigRevision, one(func() float64 { return float64(e.view.Current().Tree.Revision) })),
+		e.recorder.Observe(recorder.ConfigAge, one(func() float64 {
+			age, _ := e.view.Current().Age(time.Now())
+			return age.Seconds()
+		})),
+		e.recorder.Observe(recorder.LivePeers, one(func() float64 { return float64(len(e.peers.live(time.Now()))) })),
+		e.recorder.Observe(recorder.OwnedShards, one(func() float64 { return float64(len(e.journal.Owned())) })),
+		e.recorder.Observe(recorder.Allowance, teams(func(team string) int { return e.holder.Figures(team).Allowance })),
+		e.recorder.Observe(recorder.RunningSlots, teams(func(team string) int { return e.holder.Figures(team).Running })),
+		e.recorder.Observe(recorder.QueuedRequests, teams(func(team string) int { return e.holder.Figures(team).Waiting })),
+		e.recorder.Observe(recorder.UsableTargets, pools(true)),
+		e.recorder.Observe(recorder.EjectedTargets, pools(false)),
+	)
+}
--- /dev/null
+++ b/internal/coordinator/sync.go
@@ -0,0 +1,335 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/comfreyford/comfreyford/internal/messenger"
+	"github.com/comfreyford/comfreyford/pkg/configurer"
+	"github.com/comfreyford/comfreyford/pkg/limiter"
+	"github.com/comfreyford/comfreyford/pkg/planner"
+	"github.com/comfreyford/comfreyford/pkg/registrar"
+	"github.com/comfreyford/comfreyford/pkg/runner"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+const (
+	fleetInterval       = time.Second
+	maintenanceInterval = time.Second
+	memberInterval      = 500 * time.Millisecond
+	watchWait           = 30 * time.Second
+	fleetPrefix         = "fleet/"
+	syncTimeout         = time.Second
+	// journalWritesPerSecond is shared by all live entry daemons, so that the load on
+	// the key-value service does not grow with their number.
+	journalWritesPerSecond = 200
+)
+
+// syncConfig keeps the configuration up to date until ctx is done.
+func (e *Entry) syncConfig(ctx context.Context) error {
+	return every(ctx, e.cfg.Settings.ConfigPollInterval, func() {
+		if err := e.syncConfigOnce(ctx); err != nil && ctx.Err() == nil {
+			e.logger("config").Debug("no proof of the newest revision", "error", err)
+		}
+	})
+}
+
+// syncConfigOnce asks the relay, or reads the head if this is the relay or the relay
+// does not answer with recent knowledge.
+func (e *Entry) syncConfigOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	start := time.Now()
+	if relay := e.relay(start); relay != "" {
+		if err := e.pollRelay(ctx, relay, start); err == nil {
+			e.proved()
+			return nil
+		}
+	}
+	err := e.view.Refresh(ctx, e.store)
+	e.registrar.Observe(start, err)
+	if err != nil {
+		return err
+	}
+	e.proved()
+	return nil
+}
+
+// relay returns the relay of the own availability zone, or "" if it is this one.
+func (e *Entry) relay(now time.Time) string {
+	for _, p := range e.peers.live(now) {
+		if p.zone == e.cfg.Settings.AvailabilityZone {
+			if p.name < e.cfg.Settings.Name {
+				return p.name
+			}
+			break
+		}
+	}
+	return ""
+}
+
+// errNotProved means that the relay has no recent proof itself.
+var errNotProved = errors.New("relay has no recent proof")
+
+func (e *Entry) pollRelay(ctx context.Context, relay string, start time.Time) error {
+	address, err := e.peers.address(relay)
+	if err != nil {
+		return err
+	}
+	return e.pollAddress(ctx, address, start)
+}
+
+func (e *Entry) pollAddress(ctx context.Context, address string, start time.Time) error {
+	answer, err := messenger.Call[pollRequest, pollAnswer](ctx, e.messenger, address, kindPollConfig, pollRequest{
+		Revision: e.view.Current().Tree.Revision,
+	})
+	if err != nil {
+		return err
+	}
+	if err := e.view.Apply(answer.Delta, start); err != nil {
+		return err
+	}
+	if !answer.Delta.Known || answer.Delta.Age > configurer.StalenessLimit/2 {
+		return Error.Wrap(errNotProved)
+	}
+	return nil
+}
+
+// proved passes the proof of the view on to the membership.
+func (e *Entry) proved() {
+	state := e.view.Current()
+	if state.Proof.IsZero() {
+		return
+	}
+	e.registrar.Do(func(s *registrar.State, _ time.Time) { s.ObserveHead(state.Proof, state.Tree.Revision) })
+}
+
+// watchConfig waits for changes of the head while this is the relay, so that they
+// arrive sooner than by the poll.
+func (e *Entry) watchConfig(ctx context.Context) error {
+	var known storer.Version
+	for ctx.Err() == nil {
+		if e.relay(time.Now()) != "" {
+			pause(ctx, e.cfg.Settings.ConfigPollInterval)
+			continue
+		}
+		start := time.Now()
+		version, err := e.view.Watch(ctx, e.store, known, watchWait)
+		if err != nil {
+			if ctx.Err() == nil {
+				e.registrar.Observe(start, err)
+				pause(ctx, e.cfg.Settings.ConfigPollInterval)
+			}
+			continue
+		}
+		known = version
+	}
+	return nil
+}
+
+// applyConfig passes each new revision on to the parts that follow it.
+func (e *Entry) applyConfig(ctx context.Context) error {
+	var revision uint64
+	for ctx.Err() == nil {
+		state := e.view.Current()
+		if state.Tree.Revision > revision {
+			revision = state.Tree.Revision
+			e.useTree(state.Tree)
+			e.logger("config").Info("revision in force", "revision", revision)
+		}
+		if _, err := e.view.Await(ctx, revision); err != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (e *Entry) useTree(tree *configurer.Tree) {
+	limits := map[string]int{}
+	for name, team := range tree.Teams {
+		limits[name] = team.Limit
+	}
+	e.limits.SetLimits(tree.Revision, limits)
+	e.dispatcher.SetTree(tree)
+	e.useKeys(tree)
+}
+
+// servePoll answers a poll of another entry daemon.
+func (e *Entry) servePoll(_ context.Context, _ string, r pollRequest) (pollAnswer, error) {
+	return pollAnswer{
+		Delta: e.view.Since(r.Revision, time.Now()),
+	}, nil
+}
+
+// sendReports tells all known members that this one is live.
+func (e *Entry) sendReports(ctx context.Context) error {
+	var r reporter
+	return every(ctx, e.cfg.Settings.ReportInterval, func() {
+		message := e.buildReport(&r)
+		for _, address := range e.reportAddresses() {
+			go func() {
+				ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+				defer cancel()
+				// A peer that misses a report gets all figures again later.
+				_, _ = messenger.Call[report, reportAnswer](ctx, e.messenger, address, kindReport, message)
+			}()
+		}
+	})
+}
+
+func (e *Entry) buildReport(r *reporter) report {
+	spare := map[string]int{}
+	for team := range e.view.Current().Tree.Teams {
+		spare[team] = e.holder.Figures(team).Spare
+	}
+	usage := map[usageKey]runner.Resources{}
+	for pool, teams := range e.dispatcher.Running() {
+		for team, used := range teams {
+			usage[usageKey{
+				pool: pool,
+				team: team,
+			}] = used
+		}
+	}
+	teams, used := r.changes(spare, usage)
+	return report{
+		Entry:       e.cfg.Settings.Name,
+		Incarnation: e.incarnation,
+		Revision:    e.view.Current().Tree.Revision,
+		Address:     e.messenger.Addr(),
+		Zone:        e.cfg.Settings.AvailabilityZone,
+		Teams:       teams,
+		Usage:       used,
+	}
+}
+
+// reportAddresses returns the addresses of the members and the peers of first contact.
+func (e *Entry) reportAddresses() []string {
+	seen := map[string]bool{e.messenger.Addr(): true}
+	var addresses []string
+	add := func(address string) {
+		if !seen[address] {
+			seen[address] = true
+			addresses = append(addresses, address)
+		}
+	}
+	e.registrar.Do(func(s *registrar.State, _ time.Time) {
+		for _, m := range s.Known() {
+			add(m.Address)
+		}
+	})
+	for _, address := range e.cfg.Settings.ContactPeers {
+		add(address)
+	}
+	return addresses
+}
+
+// serveReport takes over the report of a peer.
+func (e *Entry) serveReport(_ context.Context, peer string, r report) (reportAnswer, error) {
+	if r.Entry != peer {
+		return reportAnswer{}, Error.New("report of %q came with the certificate of %q", r.Entry, peer)
+	}
+	now := time.Now()
+	e.peers.observe(r, now)
+	e.registrar.Do(func(s *registrar.State, now time.Time) { s.ObserveReport(r.Entry, r.Incarnation, r.Revision, now) })
+	for _, t := range r.Teams {
+		e.limits.ObserveSpare(limiter.HolderID{
+			Entry:       r.Entry,
+			Incarnation: r.Incarnation,
+		}, t.Team, t.Spare)
+	}
+	return reportAnswer{}, nil
+}
+
+// followMembers gives the journal its live members and the queues the usage of peers.
+func (e *Entry) followMembers(ctx context.Context) error {
+	return every(ctx, memberInterval, func() {
+		now := time.Now()
+		members := []string{e.cfg.Settings.Name}
+		for _, p := range e.peers.live(now) {
+			members = append(members, p.name)
+		}
+		e.pacer.SetRate(journalWritesPerSecond / float64(len(members)))
+		if e.registrar.Right().Valid(now) {
+			call, cancel := context.WithTimeout(ctx, syncTimeout)
+			e.journal.SetMembers(call, members)
+			cancel()
+		}
+		for key, used := range e.peers.usage(now) {
+			e.dispatcher.SetPeerUsage(key.pool, key.team, used)
+		}
+	})
+}
+
+// syncFleet keeps the view of the targets up to date.
+func (e *Entry) syncFleet(ctx context.Context) error {
+	return every(ctx, fleetInterval, func() {
+		if err := e.syncFleetOnce(ctx); err != nil && ctx.Err() == nil {
+			e.logger("fleet").Debug("fleet not read", "error", err)
+		}
+	})
+}
+
+func (e *Entry) syncFleetOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	start := time.Now()
+	item, err := e.store.Get(ctx, fleetPrefix+e.cfg.Settings.Region)
+	e.registrar.Observe(start, err)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	fleet, err := planner.Decode(e.cfg.Settings.Region, item.Value)
+	if err != nil {
+		return err
+	}
+	vms, err := e.platform.List(ctx)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	listed := map[string]bool{}
+	for _, vm := range vms {
+		listed[vm.Address] = true
+	}
+	e.registrar.Do(func(s *registrar.State, now time.Time) { s.ObserveVMs(listed, now) })
+	e.dispatcher.SetTargets(vms, fleet)
+	return nil
+}
+
+// maintain performs maintenance while this entry daemon holds the lease of its region.
+func (e *Entry) maintain(ctx context.Context) error {
+	err := every(ctx, maintenanceInterval, func() {
+		err := e.driver.Step(ctx, time.Now())
+		if err != nil && !errors.Is(err, planner.ErrNotHolder) && ctx.Err() == nil {
+			e.logger("maintenance").Debug("step failed", "error", err)
+		}
+	})
+	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), syncTimeout)
+	defer cancel()
+	// Without the release the lease ends by itself.
+	_ = e.driver.Release(release)
+	return err
+}
+
+// every calls f now and then in each interval until ctx is done.
+func every(ctx context.Context, interval time.Duration, f func()) error {
+	for {
+		f()
+		if !pause(ctx, interval) {
+			return nil
+		}
+	}
+}
+
+// pause returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,397 @@
+package dispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/comfreyford/comfreyford/internal/recorder"
+	"github.com/comfreyford/comfreyford/pkg/configurer"
+	"github.com/comfreyford/comfreyford/pkg/journaler"
+	"github.com/comfreyford/comfreyford/pkg/limiter"
+	"github.com/comfreyford/comfreyford/pkg/placer"
+	"github.com/comfreyford/comfreyford/pkg/retrier"
+	"github.com/comfreyford/comfreyford/pkg/runner"
+)
+
+const (
+	// deferrableThreshold is the utilisation of a pool above which deferrable work waits.
+	deferrableThreshold = 0.8
+	// deferrableReserve is the time before its deadline from which deferrable work starts in any case.
+	deferrableReserve = time.Minute
+	// tickInterval bounds how long a request waits for allowance that has arrived.
+	tickInterval = 5 * time.Millisecond
+)
+
+// Peers sends requests on to other entry daemons.
+type Peers interface {
+	// SpareFor returns a live peer that reported spare allowance of the team, or "".
+	SpareFor(team string, slots int) string
+	// Forward sends a request to a peer. A result with ReasonPeerUnreachable was not delivered.
+	Forward(ctx context.Context, peer string, r Request) Result
+	// ForwardJob sends a job request to a peer.
+	ForwardJob(ctx context.Context, peer string, r JobRequest) Result
+}
+
+// Config configures a Dispatcher. All fields but Seed are required.
+type Config struct {
+	Entry            string
+	AvailabilityZone string
+	Tree             func() *configurer.Tree
+	// Fresh reports whether the configuration is known to be the newest.
+	Fresh           func() bool
+	Holder          *limiter.Holder
+	Journal         *journaler.Journal
+	Peers           Peers
+	Recorder        *recorder.Recorder
+	Logger          hclog.Logger
+	MaxRequestBytes int64
+	MaxAnswerBytes  int64
+	Seed            uint64
+}
+
+// Dispatcher takes requests to their answers.
+type Dispatcher struct {
+	cfg      Config
+	ctx      context.Context // ends at Close
+	cancel   context.CancelFunc
+	registry registry
+	keyed    *runner.Keeper // sessions of work that counts against a limit
+	open     *runner.Keeper // sessions of work on open queues
+	running  sync.WaitGroup // requests being served
+
+	mu      sync.Mutex
+	pools   map[string]*pool
+	queued  map[string]int // slots that wait, by team
+	retrier *retrier.Retrier
+	rng     *rand.Rand
+
+	draining atomic.Bool
+}
+
+// New returns a Dispatcher without targets. SetJournal must be called before the
+// first request.
+func New(cfg Config) *Dispatcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Dispatcher{
+		cfg:     cfg,
+		ctx:     ctx,
+		cancel:  cancel,
+		pools:   map[string]*pool{},
+		queued:  map[string]int{},
+		retrier: retrier.New(retrier.Config{}),
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
+	}
+	d.registry = registry{
+		d:       d,
+		targets: map[string]*target{},
+	}
+	d.keyed = runner.NewKeeper(runner.KeeperConfig{MayUse: cfg.Holder.Permitted})
+	d.open = runner.NewKeeper(runner.KeeperConfig{MayUse: func() bool { return true }})
+	return d
+}
+
+// SetJournal completes the construction: the journal itself needs the dispatcher.
+func (d *Dispatcher) SetJournal(j *journaler.Journal) {
+	d.cfg.Journal = j
+}
+
+// Run grants slots to requests that wait for allowance or lower load until ctx is done.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			for _, p := range d.allPools() {
+				p.tick(now)
+			}
+		}
+	}
+}
+
+// Drain refuses new requests and waits until the running ones have ended or ctx is done.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	d.mu.Lock()
+	d.draining.Store(true)
+	d.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		d.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
+	}
+}
+
+// Close ends the calls to targets.
+func (d *Dispatcher) Close() {
+	d.keyed.Close()
+	d.open.Close()
+	d.cancel()
+	d.registry.mu.Lock()
+	for _, t := range d.registry.targets {
+		t.stop()
+		t.client.Close()
+	}
+	d.registry.mu.Unlock()
+	d.registry.wg.Wait()
+}
+
+// enter counts a request as running; false while draining.
+func (d *Dispatcher) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining.Load() {
+		return false
+	}
+	d.running.Add(1)
+	return true
+}
+
+func (d *Dispatcher) pool(name string) *pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pools[name]
+	if p == nil {
+		p = newPool(d, name, d.cfg.Seed+uint64(len(d.pools))+1)
+		d.pools[name] = p
+	}
+	return p
+}
+
+func (d *Dispatcher) allPools() []*pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pools := make([]*pool, 0, len(d.pools))
+	for _, p := range d.pools {
+		pools = append(pools, p)
+	}
+	return pools
+}
+
+// addQueued tells the limiter how much of a team waits, so that it asks for allowance.
+func (d *Dispatcher) addQueued(team string, slots int) {
+	if team == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queued[team] += slots
+	d.cfg.Holder.SetQueued(team, d.queued[team])
+}
+
+// SetTree passes the weights of a new configuration on to the queues.
+func (d *Dispatcher) SetTree(tree *configurer.Tree) {
+	for _, p := range d.allPools() {
+		p.mu.Lock()
+		for name, team := range tree.Teams {
+			p.sched.SetWeight(name, team.Weight)
+		}
+		p.mu.Unlock()
+	}
+}
+
+// SetPeerUsage takes over what the peers together run for a team in a pool.
+func (d *Dispatcher) SetPeerUsage(poolName, team string, used runner.Resources) {
+	p := d.pool(poolName)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sched.SetPeerUsage(team, used)
+}
+
+// Running returns what this entry daemon runs, by pool and team.
+func (d *Dispatcher) Running() map[string]map[string]runner.Resources {
+	teams := d.cfg.Tree().Teams
+	running := map[string]map[string]runner.Resources{}
+	for _, p := range d.allPools() {
+		p.mu.Lock()
+		for team := range teams {
+			if used := p.sched.Running(team); used != (runner.Resources{}) {
+				if running[p.name] == nil {
+					running[p.name] = map[string]runner.Resources{}
+				}
+				running[p.name][team] = used
+			}
+		}
+		p.mu.Unlock()
+	}
+	return running
+}
+
+// Idle tells whether this entry daemon runs nothing on a VM.
+func (d *Dispatcher) Idle(vm string) bool {
+	t, err := d.registry.find(vm)
+	if err != nil {
+		return true
+	}
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	m := t.pool.members[vm]
+	return m == nil || m.grants == 0
+}
+
+// PoolState describes a pool for status pages and metrics.
+type PoolState struct {
+	Pool    string `json:"pool"`
+	Usable  int    `json:"usable"`
+	Ejected int    `json:"ejected"`
+	Queued  int    `json:"queued"`
+}
+
+// Pools describes all pools.
+func (d *Dispatcher) Pools() []PoolState {
+	var states []PoolState
+	for _, p := range d.allPools() {
+		p.mu.Lock()
+		now := time.Now()
+		state := PoolState{
+			Pool:    p.name,
+			Ejected: p.ejector.Count(now),
+			Queued:  p.waiting,
+		}
+		for name, m := range p.members {
+			if m.target.usable() && !p.ejector.Ejected(now, name) {
+				state.Usable++
+			}
+		}
+		p.mu.Unlock()
+		states = append(states, state)
+	}
+	return states
+}
+
+// plan is an admitted request with everything that its queue says.
+type plan struct {
+	Request
+	queue configurer.Queue
+	pool  *pool
+	need  placer.Need
+	id    uuid.UUID // identity; only of journaled requests
+}
+
+// journaled tells whether the request needs the journal.
+func (p *plan) journaled() bool {
+	return p.queue.Class == configurer.ClassDeferrable || !p.Idempotent()
+}
+
+func (p *plan) key() retrier.Key {
+	return retrier.Key{
+		Team: p.Team,
+		Pool: p.pool.name,
+	}
+}
+
+// Submit runs or accepts a request. The result's body must be closed.
+func (d *Dispatcher) Submit(ctx context.Context, r Request) Result {
+	if !d.enter() {
+		return NotRun(ReasonDraining, "this entry daemon is shutting down")
+	}
+	start := time.Now()
+	p, refusal := d.admit(r, start)
+	if refusal != nil {
+		d.running.Done()
+		d.cfg.Recorder.Request(labels(r.Team, "", *refusal), time.Since(start))
+		return *refusal
+	}
+	var result Result
+	if p.journaled() {
+		result = d.journaled(ctx, p)
+	} else {
+		result = d.online(ctx, p)
+	}
+	end := func() {
+		d.cfg.Recorder.Request(labels(p.Team, string(p.queue.Class), result), time.Since(start))
+		d.running.Done()
+	}
+	if result.Body == nil {
+		end()
+		return result
+	}
+	result.Body = &closer{
+		ReadCloser: result.Body,
+		end:        end,
+	}
+	return result
+}
+
+func labels(team, class string, result Result) recorder.Labels {
+	return recorder.Labels{
+		Team:    team,
+		Class:   class,
+		Outcome: string(result.Outcome),
+		Reason:  string(result.Reason),
+	}
+}
+
+// admit checks the request against the configuration. A refusal is always "not run".
+func (d *Dispatcher) admit(r Request, now time.Time) (*plan, *Result) {
+	refuse := func(reason Reason, detail string) (*plan, *Result) {
+		result := NotRun(reason, detail)
+		return nil, &result
+	}
+	tree := d.cfg.Tree()
+	queue, ok := tree.Queues[r.Queue]
+	if !ok {
+		return refuse(ReasonUnknownQueue, "no queue of this name")
+	}
+	switch {
+	case queue.Open:
+		// Work on open queues belongs to no team and counts against no limit.
+		r.Team = ""
+	case r.Team == "":
+		return refuse(ReasonKeyRequired, "the queue is not open to all")
+	case !d.cfg.Fresh():
+		return refuse(ReasonConfigStale, "the configuration may be out of date here")
+	case !validKey(tree, r.Team, r.KeyID):
+		return refuse(ReasonKeyRefused, "the key was withdrawn")
+	}
+	if r.Deadline.IsZero() {
+		r.Deadline = retrier.Deadline(now, 0, queue.Class)
+	}
+	if !r.Deadline.After(now) {
+		return refuse(ReasonDeadline, "the deadline has passed")
+	}
+	p := &plan{
+		Request: r,
+		queue:   queue,
+		pool:    d.pool(queue.Pool),
+	}
+	p.need.Resources = queue.Resources
+	p.need.Slots = max(1, p.need.Slots)
+	p.need.Connections = 1
+	if !p.journaled() {
+		return p, nil
+	}
+	if r.Identity == "" {
+		return refuse(ReasonIdentityRequired, "Idempotency-Key: want a UUIDv7 for non-idempotent and deferrable requests")
+	}
+	id, err := journaler.ParseIdentity(r.Identity)
+	if err != nil {
+		return refuse(ReasonBadIdentity, "Idempotency-Key: want a UUIDv7")
+	}
+	p.id = id
+	return p, nil
+}
+
+// validKey checks the key against the configuration of this entry daemon, which
+// may be newer than that of a peer which forwarded the request.
+func validKey(tree *configurer.Tree, team, id string) bool {
+	for _, key := range tree.Teams[team].Keys {
+		if key.ID == id {
+			return !key.Withdrawn
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dispatcher/job.go
@@ -0,0 +1,129 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/comfreyford/comfreyford/pkg/journaler"
+	"github.com/comfreyford/comfreyford/pkg/placer"
+	"github.com/comfreyford/comfreyford/pkg/scheduler"
+)
+
+// JobDescription is what callers learn about accepted work.
+type JobDescription struct {
+	Identity string            `json:"identity"`
+	State    journaler.State   `json:"state"`
+	Verdict  journaler.Verdict `json:"verdict,omitempty"`
+	// MayHaveRun tells of a job without a result whether it may have run.
+	MayHaveRun bool `json:"may_have_run"`
+	Starts     int  `json:"starts"`
+}
+
+// Job tells about accepted work or cancels it. The result's body must be closed.
+func (d *Dispatcher) Job(ctx context.Context, r JobRequest) Result {
+	if !d.enter() {
+		return NotRun(ReasonDraining, "this entry daemon is shutting down")
+	}
+	defer d.running.Done()
+	id, err := journaler.ParseIdentity(r.Identity)
+	if err != nil {
+		return NotRun(ReasonBadIdentity, "want a UUIDv7")
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerRetries*ownerRetryDelay)
+	return ending(d.atOwner(ctx, id, r.Hops, func(owner string) Result {
+		if owner != d.cfg.Entry {
+			return d.cfg.Peers.ForwardJob(ctx, owner, r)
+		}
+		return d.ownJob(ctx, id, r)
+	}), cancel)
+}
+
+func (d *Dispatcher) ownJob(ctx context.Context, id uuid.UUID, r JobRequest) Result {
+	var record journaler.Record
+	var err error
+	if r.Action == JobCancel {
+		record, err = d.cfg.Journal.Cancel(ctx, id, r.Team)
+	} else {
+		record, err = d.cfg.Journal.Lookup(ctx, id, r.Team)
+	}
+	switch {
+	case errors.Is(err, journaler.ErrNotFound), errors.Is(err, journaler.ErrWrongTeam):
+		return NotRun(ReasonUnknownJob, "no record of this identity; records are kept for 10 minutes after the end")
+	case err != nil:
+		return d.journalError(err, r.Action == JobCancel)
+	case r.Action == JobResult && record.State == journaler.StateDone:
+		return d.keptResult(ctx, record)
+	case r.Action == JobResult && record.State.Final():
+		return d.recordResult(ctx, record)
+	case r.Action == JobResult:
+		return jobState(record, http.StatusAccepted)
+	default:
+		return jobState(record, http.StatusOK)
+	}
+}
+
+func jobState(r journaler.Record, status int) Result {
+	content, err := json.Marshal(JobDescription{
+		Identity:   r.ID.String(),
+		State:      r.State,
+		Verdict:    r.Verdict,
+		MayHaveRun: r.Ran,
+		Starts:     r.Starts,
+	})
+	if err != nil {
+		return Unknown(ReasonJournalUnavailable, err.Error())
+	}
+	return Result{
+		Outcome:     OutcomeDone,
+		Status:      status,
+		ContentType: "application/json",
+		Body:        io.NopCloser(bytes.NewReader(append(content, '\n'))),
+	}
+}
+
+// Place implements journaler.Dispatcher: it finds a slot for a job.
+func (d *Dispatcher) Place(ctx context.Context, job journaler.Job) (journaler.Placement, error) {
+	queue, ok := d.cfg.Tree().Queues[job.Request.Queue]
+	if !ok {
+		return journaler.Placement{}, Error.Wrap(journaler.ErrNeverRuns)
+	}
+	need := placer.Need{}
+	need.Resources = queue.Resources
+	need.Slots = max(1, need.Slots)
+	need.Connections = 1
+	p := d.pool(queue.Pool)
+	g, err := p.acquire(ctx, job.Request.Team, queue.Class, need, time.UnixMilli(job.Request.DeadlineMS))
+	if errors.Is(err, scheduler.ErrNeverFits) && p.complete() {
+		return journaler.Placement{}, Error.Wrap(journaler.ErrNeverRuns)
+	}
+	if err != nil {
+		return journaler.Placement{}, err
+	}
+	return journaler.Placement{
+		Name:      g.target.vm.Name,
+		Target:    g.target.client,
+		Pool:      p.name,
+		Resources: need.Resources,
+		Release:   func() { g.release(true) },
+	}, nil
+}
+
+// complete tells whether the size of every target of the pool is known, so that a
+// request larger than all of them can never run.
+func (p *pool) complete() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		if m.total.Slots == 0 {
+			return false
+		}
+	}
+	return len(p.members) > 0
+}
--- a/internal/dispatcher/outcome.go
+++ b/internal/dispatcher/outcome.go
@@ -40,6 +40,7 @@
 	ReasonDraining           Reason = "draining"
 	ReasonCanceled           Reason = "canceled"
 	ReasonJournalUnavailable Reason = "journal_unavailable"
+	ReasonJournalMoved       Reason = "journal_moved"
 	ReasonJournalFull        Reason = "journal_full"
 	ReasonPeerUnreachable    Reason = "peer_unreachable"
 	ReasonUnknownJob         Reason = "unknown_job"
@@ -129,6 +130,11 @@
 			status:     http.StatusServiceUnavailable,
 			retryAfter: 2 * time.Second,
 		},
+		{
+			reason:     ReasonJournalMoved,
+			status:     http.StatusServiceUnavailable,
+			retryAfter: time.Second,
+		},
 		{
 			reason:     ReasonJournalFull,
 			status:     http.StatusServiceUnavailable,
--- /dev/null
+++ b/internal/dispatcher/target.go
@@ -0,0 +1,192 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/lister"
+	"github.com/comfreyford/comfreyford/pkg/placer"
+	"github.com/comfreyford/comfreyford/pkg/planner"
+	"github.com/comfreyford/comfreyford/pkg/runner"
+)
+
+const (
+	// A leaving target says so in its answer to the next usage request, so it gets
+	// no new work after this time and one round trip, however much the list lags.
+	usageInterval = time.Second
+	usageTimeout  = time.Second
+	// A target that has not answered for this time gets no new work.
+	targetSilence = 3 * time.Second
+	// workerConnections is the number of connections of a worker that all entry daemons share.
+	workerConnections = 64
+)
+
+// ErrUnknownTarget means that no target of this name is known.
+var ErrUnknownTarget = errors.New("unknown target")
+
+// target is one VM that runs work.
+type target struct {
+	vm     lister.VM
+	pool   *pool
+	client *runner.Client
+	stop   context.CancelFunc
+	done   chan struct{}
+
+	serving atomic.Bool // by the fleet document and the platform's list
+	answers atomic.Bool // the last usage request was answered and the worker takes work
+}
+
+func (t *target) usable() bool {
+	return t.serving.Load() && t.answers.Load()
+}
+
+// registry holds the targets of all pools.
+type registry struct {
+	d  *Dispatcher
+	mu sync.Mutex
+	// targets by VM name
+	targets map[string]*target
+	wg      sync.WaitGroup
+}
+
+// SetTargets takes over the platform's VM list and the fleet document. VMs that
+// are missing in either get no new work.
+func (d *Dispatcher) SetTargets(vms []lister.VM, fleet planner.Fleet) {
+	r := &d.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := map[string]bool{}
+	for _, vm := range vms {
+		record, ok := fleet.VMs[vm.Name]
+		if !ok {
+			continue
+		}
+		listed[vm.Name] = true
+		t := r.targets[vm.Name]
+		if t != nil && (t.vm.Address != vm.Address || t.pool.name != record.Pool) {
+			r.remove(t)
+			t = nil
+		}
+		if t == nil {
+			t = r.add(vm, record.Pool)
+		}
+		t.serving.Store(vm.State == lister.StateLive && record.State == planner.StateServing)
+		t.pool.update(t)
+	}
+	for name, t := range r.targets {
+		if !listed[name] {
+			t.serving.Store(false)
+			t.pool.update(t)
+			r.remove(t)
+		}
+	}
+	for _, p := range d.allPools() {
+		p.recount()
+	}
+}
+
+// add creates a target. The lock is held.
+func (r *registry) add(vm lister.VM, poolName string) *target {
+	ctx, cancel := context.WithCancel(r.d.ctx)
+	t := &target{
+		vm:   vm,
+		pool: r.d.pool(poolName),
+		client: runner.NewClient(runner.ClientConfig{
+			Address:      vm.Address,
+			MaxBodyBytes: r.d.cfg.MaxAnswerBytes,
+		}),
+		stop: cancel,
+		done: make(chan struct{}),
+	}
+	r.targets[vm.Name] = t
+	r.wg.Go(func() { t.watch(ctx) })
+	return t
+}
+
+// remove takes a target out of its pool. Its connections stay open until what
+// runs on it has ended, which a moved or drained VM waits for.
+func (r *registry) remove(t *target) {
+	delete(r.targets, t.vm.Name)
+	idle := t.pool.remove(t)
+	t.stop()
+	r.wg.Go(func() {
+		<-t.done
+		select {
+		case <-idle:
+		case <-r.d.ctx.Done():
+		}
+		t.client.Close()
+	})
+}
+
+func (r *registry) find(name string) (*target, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.targets[name]
+	if t == nil {
+		return nil, Error.Wrap(ErrUnknownTarget)
+	}
+	return t, nil
+}
+
+// Target returns the worker protocol of a target by the name of its VM.
+func (d *Dispatcher) Target(name string) (runner.Target, error) {
+	t, err := d.registry.find(name)
+	if err != nil {
+		return nil, err
+	}
+	return t.client, nil
+}
+
+// watch asks the worker for its usage until ctx is done.
+func (t *target) watch(ctx context.Context) {
+	defer close(t.done)
+	var heard time.Time
+	for {
+		if t.ask(ctx) {
+			heard = time.Now()
+		} else if time.Since(heard) >= targetSilence {
+			t.setAnswers(false)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(usageInterval):
+		}
+	}
+}
+
+// ask sends one usage request and returns whether the worker answered.
+func (t *target) ask(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
+	defer cancel()
+	usage, err := t.client.Usage(ctx)
+	if err != nil {
+		return false
+	}
+	t.pool.report(t, usage)
+	t.setAnswers(!usage.Draining && !t.client.Draining())
+	return true
+}
+
+func (t *target) setAnswers(answers bool) {
+	if t.answers.Swap(answers) != answers {
+		t.pool.update(t)
+	}
+}
+
+func (t *target) description(total runner.Resources, usable bool) placer.Target {
+	return placer.Target{
+		ID:               t.vm.Name,
+		Rack:             t.vm.Rack,
+		AvailabilityZone: t.vm.AvailabilityZone,
+		Total: placer.Room{
+			Resources:   total,
+			Connections: workerConnections,
+		},
+		Usable: usable,
+	}
+}
--- a/internal/emulator/vms.go
+++ b/internal/emulator/vms.go
@@ -73,7 +73,7 @@
 
 // startReboot marks the VM as leaving, reboots its worker and marks it as live
 // when it is back. A VM whose worker cannot be reached stays leaving.
-func (p *Platform) startReboot(vm lister.VM) {
+func (p *Platform) startReboot(vm lister.VM, operation string) {
 	p.tasks.Go(func() {
 		if _, err := p.vms.SetState(vm.Name, lister.StateLeaving); err != nil {
 			return // removed in the meantime
@@ -95,7 +95,7 @@
 		case <-p.ctx.Done():
 			return
 		}
-		if _, err := p.vms.SetState(vm.Name, lister.StateLive); err != nil {
+		if err := p.vms.Complete(vm.Name, operation); err != nil {
 			p.cfg.Logger.Info("VM was removed during its reboot", "vm", vm.Name)
 		}
 	})
--- a/pkg/lister/contract_test.go
+++ b/pkg/lister/contract_test.go
@@ -39,7 +39,7 @@
 		memory = lister.NewMemory(lister.MemoryConfig{
 			VMs: []lister.VM{vm("b"), vm("a")},
 			Lag: 5 * time.Second,
-			OnReboot: func(vm lister.VM) {
+			OnReboot: func(vm lister.VM, _ string) {
 				reboots <- vm.Name
 				if _, err := memory.SetState(vm.Name, lister.StateLeaving); err != nil {
 					panic(err)
--- a/pkg/lister/lister.go
+++ b/pkg/lister/lister.go
@@ -41,6 +41,7 @@
 	Rack             string `json:"rack"`
 	Address          string `json:"address"` // host and port of the worker
 	State            State  `json:"state"`
+	Operation        string `json:"operation,omitempty"` // the last reboot that was completed
 }
 
 // Lister is the platform's VM list.
--- a/pkg/lister/memory.go
+++ b/pkg/lister/memory.go
@@ -17,7 +17,7 @@
 	views      []view // oldest first; the list as of each change
 	lag        time.Duration
 	operations map[string]string // operation id to VM
-	onReboot   func(VM)
+	onReboot   func(vm VM, operation string)
 }
 
 type view struct {
@@ -31,7 +31,7 @@
 	// Lag is the age of the list that List returns; see SetLag.
 	Lag time.Duration
 	// OnReboot is called once per operation, without a lock held; nil means nothing.
-	OnReboot func(VM)
+	OnReboot func(vm VM, operation string)
 }
 
 // NewMemory returns a list that holds the VMs of cfg from the start, also within the lag.
@@ -82,7 +82,7 @@
 		return err
 	}
 	if first && m.onReboot != nil {
-		m.onReboot(found)
+		m.onReboot(found, operation)
 	}
 	return nil
 }
@@ -130,6 +130,21 @@
 	return vm, nil
 }
 
+// Complete records that a reboot was completed and the VM is live again.
+func (m *Memory) Complete(name, operation string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	vm, ok := m.vms[name]
+	if !ok {
+		return Error.Wrap(ErrUnknownVM)
+	}
+	vm.State = StateLive
+	vm.Operation = operation
+	m.vms[name] = vm
+	m.record()
+	return nil
+}
+
 // Remove removes a VM.
 func (m *Memory) Remove(name string) error {
 	m.mu.Lock()
