Remove data races from the fakes of registrar and limiter tests

Cause: the race detector found a test flag of the registrar test and the list of nodes of the limiter fleet shared without a lock. Change: an atomic flag; the list is complete before the nodes start and is copied under the lock. The registrar test logs how long freshness is lost. Ruled out: a race in the packages themselves was in none of the reports.

--- a/pkg/limiter/fleet_test.go
+++ b/pkg/limiter/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -93,6 +94,8 @@
 			entry:   fmt.Sprint("e", i),
 			jobTime: 300 * time.Millisecond,
 		})
+	}
+	for i := range holders {
 		f.start(i)
 	}
 	return f
@@ -202,7 +205,7 @@
 	f := n.f
 	spare := n.holder.Figures(team).Spare
 	f.mu.Lock()
-	peers, self := f.nodes, n.peers
+	peers, self := slices.Clone(f.nodes), n.peers
 	listed := map[string]bool{}
 	for vm, ok := range f.vms {
 		if ok {
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,11 +28,11 @@
 // member agrees that the service is down.
 func TestOutageExtendsRight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		down := false
+		var down atomic.Bool
 		store := &storer.Faulty{
 			Store: storer.NewMemory(),
 			Before: func(context.Context, storer.Op, string) error {
-				if down {
+				if down.Load() {
 					return storer.ErrUnavailable
 				}
 				return nil
@@ -69,9 +70,16 @@
 			})
 		}
 		time.Sleep(20 * time.Second)
-		down = true
+		down.Store(true)
 		// Promises start once the last success of every member is 3 s old.
-		time.Sleep(5 * time.Second)
+		stale := 0
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			if !peers["e0"].Fresh() {
+				stale++
+			}
+		}
+		t.Logf("not fresh for %d ms at the start of the outage", stale*100)
 		for range 200 {
 			time.Sleep(time.Second)
 			for name, r := range peers {
