--- a/pkg/journaler/document_test.go
+++ b/pkg/journaler/document_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -150,7 +149,7 @@
 	d, c := NewDocument(), mustCodec(t)
 	long := strings.Repeat("x", maxNameBytes)
 	var ids []uuid.UUID
-	for n := 0; ; n++ {
+	for n := range 1 << 14 {
 		id := idAt(baseTime.Add(time.Duration(n)*time.Millisecond), 1)
 		if err := d.Accept(id, Request{Queue: long}, inlineBlob(nil)); err != nil {
 			if !errors.Is(err, ErrFull) {
@@ -161,10 +160,10 @@
 		ids = append(ids, id)
 	}
 	for _, id := range ids {
-		if err := d.Start(id, Attempt{Task: long, Target: long, Boot: long, Session: long}); err != nil {
-			t.Fatal(err)
-		}
-		if err := d.Finish(id, long, Result{Type: long, Key: long}, baseTime); err != nil {
+		if err := errors.Join(
+			d.Start(id, Attempt{Task: long, Target: long, Boot: long, Session: long}),
+			d.Finish(id, long, Result{Type: long, Key: long}, baseTime),
+		); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -187,10 +186,7 @@
 		t.Fatal(err)
 	}
 	back, err := c.decode(data)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := back.Finish(id, "t", Result{Status: 200}, baseTime); err != nil {
+	if err != nil || back.Finish(id, "t", Result{Status: 200}, baseTime) != nil {
 		t.Fatal(err)
 	}
 	got := back.Records[id]
@@ -255,19 +251,13 @@
 	if err := d.Finish(id, "t", Result{Key: "k"}, baseTime.Add(5*time.Minute)); err != nil {
 		t.Fatal(err)
 	}
-	for _, tt := range []struct {
-		after   time.Duration
-		deleted map[string]bool
-		want    string
-	}{
-		{after: 11 * time.Minute, want: "0 1"},
-		{after: 15 * time.Minute, want: "1 1"},
-		{after: 15 * time.Minute, deleted: map[string]bool{"k": true}, want: "0 0"},
-	} {
-		keys := d.Expire(baseTime.Add(tt.after), tt.deleted)
-		if got := fmt.Sprint(len(keys), len(d.Records)); got != tt.want {
-			t.Errorf("after %s: pending and kept %s, want %s", tt.after, got, tt.want)
-		}
+	early := d.Expire(baseTime.Add(11*time.Minute), nil)
+	due := d.Expire(baseTime.Add(15*time.Minute), nil)
+	if len(early) != 0 || len(due) != 1 || len(d.Records) != 1 {
+		t.Errorf("keys to delete: early %v, when due %v; %d records", early, due, len(d.Records))
+	}
+	if d.Expire(baseTime.Add(15*time.Minute), map[string]bool{"k": true}); len(d.Records) != 0 {
+		t.Error("the record stayed after its key was deleted")
 	}
 }
 
--- a/pkg/journaler/harness_test.go
+++ b/pkg/journaler/harness_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/google/uuid"
@@ -45,6 +46,12 @@
 	}
 }
 
+// cross passes the gate at once and again in the returned function.
+func (g *gate) cross() func() {
+	g.pass()
+	return g.pass
+}
+
 // world is one store, one worker and some owners.
 type world struct {
 	t      testing.TB
@@ -167,6 +174,7 @@
 	broken   int // answers that end too early
 	away     bool
 	status   int
+	large    int // bytes added to each answer
 }
 
 type task struct {
@@ -222,7 +230,7 @@
 	if end, ok := w.sessions[t.Session]; !ok || w.revoked[t.Session] || time.Now().After(end) {
 		return nil, fmt.Errorf("%w: %w", runner.ErrNotRun, runner.ErrSessionEnded)
 	}
-	tk := &task{session: t.Session, state: runner.StateRunning, done: make(chan struct{}), data: resultOf(t.Identity, body)}
+	tk := &task{session: t.Session, state: runner.StateRunning, done: make(chan struct{}), data: append(resultOf(t.Identity, body), make([]byte, w.large)...)}
 	w.tasks[t.ID] = tk
 	w.runs[t.Identity]++
 	time.AfterFunc(4*time.Second, func() { w.end(tk, true) })
@@ -266,15 +274,11 @@
 	var body io.Reader = bytes.NewReader(tk.data)
 	if w.broken > 0 {
 		w.broken--
-		body = io.MultiReader(bytes.NewReader(tk.data[:3]), failing{})
+		body = io.MultiReader(bytes.NewReader(tk.data[:3]), iotest.ErrReader(runner.ErrTruncated))
 	}
 	return &runner.Answer{Status: w.status, ContentType: "text/plain", Body: io.NopCloser(body)}, nil
 }
 
-type failing struct{}
-
-func (failing) Read([]byte) (int, error) { return 0, runner.ErrTruncated }
-
 // gated is the worker as one owner reaches it. Methods that the journal does not call are left out.
 type gated struct {
 	runner.Target
@@ -283,14 +287,12 @@
 }
 
 func (g *gated) OpenSession(_ context.Context, id string, ttl time.Duration) (string, error) {
-	g.gate.pass()
-	defer g.gate.pass()
+	defer g.gate.cross()()
 	return g.worker.open(id, ttl)
 }
 
 func (g *gated) RevokeSession(_ context.Context, id string) (runner.Revocation, error) {
-	g.gate.pass()
-	defer g.gate.pass()
+	defer g.gate.cross()()
 	g.worker.mu.Lock()
 	defer g.worker.mu.Unlock()
 	if g.worker.away {
@@ -301,8 +303,7 @@
 }
 
 func (g *gated) Start(ctx context.Context, t runner.Task, body io.Reader) (*runner.Answer, error) {
-	g.gate.pass()
-	defer g.gate.pass()
+	defer g.gate.cross()()
 	data, err := io.ReadAll(body)
 	if err != nil {
 		return nil, err
@@ -327,8 +328,7 @@
 }
 
 func (g *gated) Status(_ context.Context, id string) (runner.Status, error) {
-	g.gate.pass()
-	defer g.gate.pass()
+	defer g.gate.cross()()
 	tk, err := g.find(id)
 	if err != nil {
 		return runner.Status{}, err
@@ -339,8 +339,7 @@
 }
 
 func (g *gated) Answer(ctx context.Context, id string) (*runner.Answer, error) {
-	g.gate.pass()
-	defer g.gate.pass()
+	defer g.gate.cross()()
 	tk, err := g.find(id)
 	if err != nil {
 		return nil, err
@@ -349,8 +348,7 @@
 }
 
 func (g *gated) Adopt(_ context.Context, id, session string) error {
-	g.gate.pass()
-	defer g.gate.pass()
+	defer g.gate.cross()()
 	tk, err := g.find(id)
 	if err != nil {
 		return err
--- a/pkg/journaler/journal_test.go
+++ b/pkg/journaler/journal_test.go
@@ -238,24 +238,34 @@
 }
 
 // Guards against a crash between any two steps of a request: the owner stops
-// for good before or after each of its calls to the store.
+// before or after each of its calls to the store, for good or until its
+// successor has recovered the record while the session is still open.
 func TestCrashAtEveryStep(t *testing.T) {
 	for kind, name := range []string{"on the line", "job", "idempotent job"} {
-		for at, reached := 1, true; reached; at++ {
-			t.Run(fmt.Sprintf("%s, call %d", name, at), func(t *testing.T) {
+		for at, reached := 2, true; reached; at++ {
+			resumed := at%2 == 1 // two rounds for each call
+			call := at / 2
+			t.Run(fmt.Sprintf("%s, call %d, resumed %t", name, call, resumed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					w := newWorld(t, 2)
 					ids := newIDs(3)
-					w.owners[0].crashAt = at + 4 // after the two calls of the takeover
+					w.owners[0].crashAt = call + 4 // after the two calls of the takeover
 					w.owners[0].crashOn = ShardKey(ShardOf(ids[kind]))
 					w.members("a")
 					time.Sleep(time.Second)
 					w.submit(w.owners[0], ids[kind], request(kind))
-					time.Sleep(6 * time.Second)
-					w.owners[0].mu.Lock()
-					reached = w.owners[0].calls >= at+4
-					w.owners[0].mu.Unlock()
+					time.Sleep(time.Second)
+					if !resumed {
+						time.Sleep(5 * time.Second)
+						w.owners[0].mu.Lock()
+						reached = w.owners[0].calls >= call+4
+						w.owners[0].mu.Unlock()
+					}
 					w.owners[1].j.SetMembers(t.Context(), []string{"b"})
+					time.Sleep(2 * time.Second)
+					if resumed {
+						w.owners[0].set(false)
+					}
 					time.Sleep(30 * time.Second)
 					w.submit(w.owners[1], ids[kind], request(kind)) // the caller repeats the request
 					w.settle(t, ids[kind:kind+1])
@@ -311,13 +321,13 @@
 		want       Action // non-idempotent
 		idempotent Action
 	}{
-		{"unknown task", Evidence{BootBefore: "1", BootAfter: "1"}, ActionNotRun, ActionNotRun},
-		{"restarted before", Evidence{BootBefore: "2", BootAfter: "2"}, ActionUnknown, ActionRetry},
-		{"restarted during the lookup", Evidence{BootBefore: "1", BootAfter: "2"}, ActionUnknown, ActionRetry},
-		{"running", Evidence{State: runner.StateRunning}, ActionAdopt, ActionAdopt},
-		{"checkpointed", Evidence{State: runner.StateCheckpointed}, ActionAdopt, ActionAdopt},
-		{"done", Evidence{State: runner.StateDone}, ActionAnswer, ActionAnswer},
-		{"stopped", Evidence{State: runner.StateStopped}, ActionUnknown, ActionRetry},
+		{name: "unknown task", evidence: Evidence{BootBefore: "1", BootAfter: "1"}, want: ActionNotRun, idempotent: ActionNotRun},
+		{name: "restarted before", evidence: Evidence{BootBefore: "2", BootAfter: "2"}, want: ActionUnknown, idempotent: ActionRetry},
+		{name: "restarted during the lookup", evidence: Evidence{BootBefore: "1", BootAfter: "2"}, want: ActionUnknown, idempotent: ActionRetry},
+		{name: "running", evidence: Evidence{State: runner.StateRunning}, want: ActionAdopt, idempotent: ActionAdopt},
+		{name: "checkpointed", evidence: Evidence{State: runner.StateCheckpointed}, want: ActionAdopt, idempotent: ActionAdopt},
+		{name: "done", evidence: Evidence{State: runner.StateDone}, want: ActionAnswer, idempotent: ActionAnswer},
+		{name: "stopped", evidence: Evidence{State: runner.StateStopped}, want: ActionUnknown, idempotent: ActionRetry},
 	} {
 		r := Record{Attempt: Attempt{Boot: "1"}}
 		if got := Decide(r, tt.evidence); got != tt.want {
--- /dev/null
+++ b/pkg/journaler/limits_test.go
@@ -0,0 +1,118 @@
+package journaler
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/runner"
+)
+
+// Guards against bodies and results above the limit, a damaged result that is
+// handed out, and keys that stay after their record was dropped.
+func TestSizesAndKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, ctx := newWorld(t, 1), t.Context()
+		w.members("a")
+		time.Sleep(time.Second)
+		j, req := w.owners[0].j, request(1)
+		ids := newIDs(3)
+		send := func(n, size int) error {
+			_, err := j.Submit(ctx, Submission{ID: ids[n], Request: req, Body: make([]byte, size)})
+			return err
+		}
+		if err := errors.Join(send(0, MaxBlobBytes/2), send(0, MaxBlobBytes/2)); err != nil {
+			t.Error(err)
+		}
+		if err := send(1, MaxBlobBytes+1); !errors.Is(err, ErrBodyTooLarge) {
+			t.Errorf("large body: %v", err)
+		}
+		req.Path = "/other"
+		if err := send(0, MaxBlobBytes/2); !errors.Is(err, ErrIdentityReused) {
+			t.Errorf("other request: %v", err)
+		}
+		time.Sleep(10 * time.Second)
+		w.worker.large = MaxBlobBytes
+		_ = send(2, 1)
+		r, _ := j.Wait(ctx, ids[2], "team")
+		if _, err := j.Data(ctx, r); r.Verdict != VerdictResultTooLarge || !errors.Is(err, ErrNotKept) {
+			t.Errorf("large result: %s %s, %v", r.State, r.Verdict, err)
+		}
+		r, _ = j.Lookup(ctx, ids[0], "team")
+		if data, err := j.Data(ctx, r); err != nil || len(data) < MaxBlobBytes/2 {
+			t.Errorf("%d bytes, %v", len(data), err)
+		}
+		r.Digest++
+		if _, err := j.Data(ctx, r); !errors.Is(err, ErrCorrupt) {
+			t.Errorf("damaged result: %v", err)
+		}
+		time.Sleep(13 * time.Minute)
+		for _, prefix := range []string{bodyPrefix, resultPrefix} {
+			if items, err := w.store.List(ctx, prefix); err != nil || len(items) > 0 {
+				t.Errorf("%d keys left below %s, %v", len(items), prefix, err)
+			}
+		}
+		for _, s := range j.Stats() {
+			if len(s.Records) > 0 || s.Discarded > 0 {
+				t.Errorf("not empty: %+v", s)
+			}
+		}
+		j.Close(ctx)
+	})
+}
+
+// Guards against giving up on a target that returns, and against asking for ever.
+func TestRecoveryWaitsForTheTarget(t *testing.T) {
+	for away, want := range map[time.Duration]State{
+		40 * time.Second: StateDone,
+		80 * time.Second: StateUnknown,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			w, ids := newWorld(t, 2), newIDs(1)
+			w.members("a")
+			time.Sleep(time.Second)
+			w.submit(w.owners[0], ids[0], request(1))
+			time.Sleep(time.Second)
+			w.owners[0].set(true)
+			time.Sleep(4 * time.Second)
+			w.worker.away = true
+			w.owners[1].j.SetMembers(t.Context(), []string{"b"})
+			time.Sleep(away)
+			w.worker.away = false
+			w.settle(t, ids)
+			if got := stored(t, w.store, ids[0])[ids[0]].State; got != want {
+				t.Errorf("away for %s: %s, want %s", away, got, want)
+			}
+		})
+	}
+}
+
+// slowTarget counts the revocations that run at the same time.
+type slowTarget struct {
+	runner.Target
+	now, peak atomic.Int64
+}
+
+func (s *slowTarget) RevokeSession(context.Context, string) (runner.Revocation, error) {
+	s.peak.Store(max(s.peak.Load(), s.now.Add(1)))
+	time.Sleep(time.Second)
+	s.now.Add(-1)
+	return runner.Revocation{}, errAway
+}
+
+// Guards against a takeover that examines all targets at once.
+func TestRecoveryIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tn, target := newTenure(New(Config{}), nil), &slowTarget{}
+		for range 100 {
+			tn.wg.Go(func() { _, _ = tn.examine(t.Context(), target, Record{}) })
+		}
+		tn.wg.Wait()
+		if target.peak.Load() != 16 {
+			t.Errorf("%d at once, want 16", target.peak.Load())
+		}
+	})
+}
--- /dev/null
+++ b/pkg/journaler/refusal.go
@@ -0,0 +1,60 @@
+package journaler
+
+import (
+	"errors"
+)
+
+// Answer is the word for callers from section 5.8 of the design.
+type Answer string
+
+// The answers that an error of Submit, Start or Lookup can mean.
+const (
+	AnswerNotRun  Answer = "not_run"
+	AnswerUnknown Answer = "outcome_unknown"
+)
+
+// Refusal is what a caller is told instead of a result.
+type Refusal struct {
+	Answer Answer `json:"outcome"`
+	Reason string `json:"reason"` // machine-readable
+	Detail string `json:"detail"`
+}
+
+// RefusalOf translates an error of Submit or Start. It says "not run" only if
+// the error proves that this call caused no run and, for an identity without a
+// record, that no earlier call did either.
+func RefusalOf(err error) Refusal {
+	refusal := Refusal{
+		Answer: AnswerNotRun,
+		Reason: reasonOf(err),
+	}
+	if err != nil {
+		refusal.Detail = err.Error()
+	}
+	// A record that has ended may have run; only the record tells.
+	if EffectOf(err) != EffectNone || errors.Is(err, ErrIdentityExpired) || errors.Is(err, ErrIllegal) {
+		refusal.Answer = AnswerUnknown
+	}
+	return refusal
+}
+
+func reasonOf(err error) string {
+	for _, known := range []struct {
+		err    error
+		reason string
+	}{
+		{ErrBadIdentity, "bad_identity"},
+		{ErrIdentityReused, "bad_identity"},
+		{ErrWrongTeam, "bad_identity"},
+		{ErrIdentityExpired, "identity_expired"},
+		{ErrBodyTooLarge, "body_too_large"},
+		{ErrFieldTooLong, "field_too_long"},
+		{ErrFull, "shard_full"},
+		{ErrIllegal, "ended"},
+	} {
+		if errors.Is(err, known.err) {
+			return known.reason
+		}
+	}
+	return "journal_unavailable"
+}
--- a/pkg/journaler/shard_test.go
+++ b/pkg/journaler/shard_test.go
@@ -19,6 +19,7 @@
 	t.Helper()
 	s, err := OpenShard(t.Context(), ShardConfig{
 		Store:   store,
+		Shard:   ShardOf(idAt(time.Now(), 1)),
 		Owner:   owner,
 		Limiter: limiter,
 	})
@@ -35,9 +36,9 @@
 }
 
 // stored reads the records that the store holds.
-func stored(t testing.TB, store storer.Store) map[uuid.UUID]Record {
+func stored(t testing.TB, store storer.Store, id uuid.UUID) map[uuid.UUID]Record {
 	t.Helper()
-	item, err := store.Get(t.Context(), ShardKey(0))
+	item, err := store.Get(t.Context(), ShardKey(ShardOf(id)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -94,7 +95,7 @@
 				armed = true
 				id := idAt(time.Now(), 1)
 				err := accept(t.Context(), s, id)
-				_, there := stored(t, memory)[id]
+				_, there := stored(t, memory, id)[id]
 				if EffectOf(err) != tt.want || !errors.Is(err, tt.reason) || there != (tt.want == EffectApplied) {
 					t.Errorf("effect %s (%v), stored %t", EffectOf(err), err, there)
 				}
