scheduler, placer: let a team pass its held request

Change: with Config.HoldsTargets the scheduler looks past such a request, because the caller holds a target free for it; placer.Hold returns the target, so that peers can be told to leave it alone. Ruled out: holding in one daemon only. The new test was seen to fail with the condition on HoldsTargets removed. Conclusion: entry daemons should set HoldsTargets and report the held target.

--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -208,8 +208,12 @@
 
 // Hold keeps one target free of new work until a request with Need.Held is placed
 // on it or Unhold is called, so that a request that needs most of a target finds
-// room. It returns false when no usable target is large enough.
-func (p *Placer) Hold(need *Need) bool {
+// room. It returns the target, and false when no usable target is large enough. Peers
+// should be told to leave the target alone: their work would fill it again.
+func (p *Placer) Hold(need *Need) (target string, ok bool) {
+	if p.held != none {
+		return p.entries[p.held].ID, true
+	}
 	best := none
 	for _, targets := range [2][]int32{p.own, p.rest} {
 		for _, i := range targets {
@@ -220,12 +224,10 @@
 		}
 	}
 	if best == none {
-		return false
-	}
-	if p.held == none {
-		p.held = best
+		return "", false
 	}
-	return true
+	p.held = best
+	return p.entries[best].ID, true
 }
 
 // Unhold lets the held target receive any work again.
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -204,8 +204,8 @@
 		running = append(running, r)
 	}
 	large := Need{Room: Room{Resources: whole.Resources}, Held: true}
-	if !p.Hold(&large) {
-		t.Fatal("no target is large enough")
+	if held, ok := p.Hold(&large); !ok {
+		t.Fatalf("holds %q, %v; want a target", held, ok)
 	}
 	for _, r := range running {
 		p.Release(r)
--- a/pkg/scheduler/choose.go
+++ b/pkg/scheduler/choose.go
@@ -67,13 +67,13 @@
 	return best, best.team != nil
 }
 
-// fitting returns the team's first request of the class that may start now. Only
-// the oldest is tried once it is past its age limit, so that small requests
-// behind a large one do not starve it.
+// fitting returns the team's first request of the class that may start now. Unless the
+// caller holds a target for it, only the oldest is tried once it is past its age
+// limit, so that small requests behind a large one do not starve it.
 func (s *Scheduler[T]) fitting(now time.Time, t *team[T], class int, fits func(*Request[T]) bool) (Handle, bool) {
 	q := t.queues[class]
 	depth := lookAhead
-	if r := q.Peek(); r != nil && now.Sub(r.Enqueued) >= s.ages[class] {
+	if r := q.Peek(); !s.cfg.HoldsTargets && r != nil && now.Sub(r.Enqueued) >= s.ages[class] {
 		depth = 1
 	}
 	return q.find(depth, func(r *Request[T]) bool {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 	UrgentAge         time.Duration // age from which an urgent request is past its limit
 	InteractiveAge    time.Duration
 	DeferrableAge     time.Duration
+	HoldsTargets      bool        // the caller holds a target free for the request that Overdue names
 	Deferrable        StartPolicy // nil: deferrable work starts whenever nothing else wants the slot
 }
 
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -297,6 +297,22 @@
 	}
 }
 
+// Guards against a large request that stops its team although a target is held for it.
+func TestHeldRequestLetsItsTeamPass(t *testing.T) {
+	for _, holds := range []bool{false, true} {
+		s := newPool(1, Config{HoldsTargets: holds})
+		for _, need := range []runner.Resources{target, slot} {
+			if _, err := s.Enqueue(start, request("a", configurer.ClassUrgent, need)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_, ok := s.Next(start.Add(DefaultUrgentAge), func(r *Request[int]) bool { return r.Resources == slot })
+		if ok != holds {
+			t.Errorf("with HoldsTargets %v, the small request started: %v", holds, ok)
+		}
+	}
+}
+
 func ExampleScheduler() {
 	s := New[string](Config{})
 	s.SetCapacity(runner.Resources{Slots: 8}, runner.Resources{Slots: 8})
