--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -22,6 +22,7 @@
 		workerCommand(),
 		checkCommand(),
 		settingsCommand(),
+		measureCommand(),
 		versionCommand(),
 	}
 }
--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -11,6 +11,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,12 +97,16 @@
 		return nil, err
 	}
 	e.recorder = r
+	platformURL, err := url.Parse(cfg.Settings.PlatformAddress)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
 	e.store = e.countCalls(storer.NewClient(storer.ClientConfig{
-		Address: cfg.Settings.PlatformAddress,
+		Address: platformURL.Host,
 		Timeout: cfg.Settings.PlatformTimeout,
 	}))
 	e.platform = lister.NewClient(lister.ClientConfig{
-		Address: cfg.Settings.PlatformAddress,
+		Address: platformURL.Host,
 		Timeout: cfg.Settings.PlatformTimeout,
 	})
 	if err := e.openMessenger(); err != nil {
