--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -17,6 +17,7 @@
 // verbs names every subcommand in the order in which help lists them.
 func verbs() []*cli.Command {
 	return []*cli.Command{
+		demoCommand(),
 		entryCommand(),
 		platformCommand(),
 		workerCommand(),
--- /dev/null
+++ b/internal/demonstrator/installation.go
@@ -0,0 +1,490 @@
+// Package demonstrator starts a whole installation as processes on loopback: the
+// platform emulator, worker emulators and entry daemons of several availability
+// zones. The demo and the process-level tests use it.
+package demonstrator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/zeebo/errs"
+
+	"github.com/comfreyford/comfreyford/internal/emulator"
+	"github.com/comfreyford/comfreyford/internal/messenger"
+	"github.com/comfreyford/comfreyford/internal/server"
+	"github.com/comfreyford/comfreyford/pkg/configurer"
+	"github.com/comfreyford/comfreyford/pkg/planner"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("demonstrator")
+
+const (
+	region       = "north"
+	readyTimeout = 20 * time.Second
+	pollInterval = 50 * time.Millisecond
+	operatorKey  = "demo-operator-key"
+)
+
+// Config configures an Installation.
+type Config struct {
+	Program        string // path of the comfreyford binary
+	Dir            string // for settings, certificates and logs
+	Zones          int
+	EntriesPerZone int
+	Log            io.Writer // progress, one line a step
+}
+
+// EntryProcess is one entry daemon.
+type EntryProcess struct {
+	*Process
+	Zone     string
+	Settings string // file
+	Callers  string // address
+	Operator string
+	Metrics  string
+	Peers    string
+}
+
+// WorkerProcess is one worker emulator.
+type WorkerProcess struct {
+	*Process
+	VM   string
+	Zone string
+	Rack string
+	Pool string
+}
+
+// Installation is a set of running processes.
+type Installation struct {
+	cfg      Config
+	plan     plan
+	log      *os.File
+	Platform *Process
+	Workers  []*WorkerProcess
+	Entries  []*EntryProcess
+	Keys     map[string]string // value of Comfreyford-Key by team
+	client   *http.Client
+}
+
+// Start starts all processes, loads the tree and the fleet, and waits until every
+// entry daemon serves.
+func Start(ctx context.Context, cfg Config) (*Installation, error) {
+	p, err := readPlan()
+	if err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(cfg.Dir, "log"))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	in := &Installation{
+		cfg:    cfg,
+		plan:   p,
+		log:    log,
+		client: &http.Client{Timeout: 10 * time.Second},
+	}
+	for _, step := range []struct {
+		name string
+		do   func(ctx context.Context) error
+	}{
+		{
+			name: "workers",
+			do:   in.startWorkers,
+		},
+		{
+			name: "platform",
+			do:   in.startPlatform,
+		},
+		{
+			name: "entry daemons",
+			do:   in.startEntries,
+		},
+		{
+			name: "configuration and fleet",
+			do:   in.load,
+		},
+		{
+			name: "targets in use",
+			do:   in.awaitTargets,
+		},
+	} {
+		in.progress("%s", step.name)
+		if err := step.do(ctx); err != nil {
+			in.killAll()
+			return nil, errors.Join(err, in.lastLog())
+		}
+	}
+	return in, nil
+}
+
+func (in *Installation) progress(format string, args ...any) {
+	fmt.Fprintf(in.cfg.Log, "demo: "+format+"\n", args...)
+}
+
+// lastLog returns the end of the processes' log as an error.
+func (in *Installation) lastLog() error {
+	content, err := os.ReadFile(in.log.Name())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	const lines = 15
+	all := strings.Split(strings.TrimSpace(string(content)), "\n")
+	return Error.New("log of the processes ends with:\n%s", strings.Join(all[max(0, len(all)-lines):], "\n"))
+}
+
+func zoneName(n int) string {
+	return "zone-" + string(rune('a'+n))
+}
+
+func (in *Installation) startWorkers(context.Context) error {
+	for zone := range in.cfg.Zones {
+		pools := make([]string, 0, len(in.plan.VMs))
+		for pool := range in.plan.VMs {
+			pools = append(pools, pool)
+		}
+		sort.Strings(pools)
+		for _, pool := range pools {
+			for n := range in.plan.VMs[pool] {
+				w := &WorkerProcess{
+					VM:   vmName(zoneName(zone), pool, n),
+					Zone: zoneName(zone),
+					Rack: fmt.Sprintf("rack-%s-%d", zoneName(zone), n/4),
+					Pool: pool,
+				}
+				p, err := start(in.cfg.Program, w.VM, in.log, true, "worker", "--listen", "127.0.0.1:0")
+				if err != nil {
+					return err
+				}
+				w.Process = p
+				in.Workers = append(in.Workers, w)
+			}
+		}
+	}
+	return nil
+}
+
+func (in *Installation) startPlatform(context.Context) error {
+	args := []string{"platform", "--listen", "127.0.0.1:0"}
+	for _, w := range in.Workers {
+		args = append(args, "--vm", fmt.Sprintf("%s/%s/%s/%s", w.VM, w.Zone, w.Rack, w.Address))
+	}
+	p, err := start(in.cfg.Program, "platform", in.log, true, args...)
+	if err != nil {
+		return err
+	}
+	in.Platform = p
+	return nil
+}
+
+func (in *Installation) startEntries(ctx context.Context) error {
+	if err := in.writeSettings(); err != nil {
+		return err
+	}
+	for _, e := range in.Entries {
+		if err := in.StartEntry(e); err != nil {
+			return err
+		}
+	}
+	for _, e := range in.Entries {
+		if err := in.await(ctx, e.Name+" ready", func() error { return in.ready(e) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartEntry starts the process of an entry daemon, also again after it ended.
+func (in *Installation) StartEntry(e *EntryProcess) error {
+	p, err := start(in.cfg.Program, e.Name, in.log, false, "entry", "--settings", e.Settings)
+	if err != nil {
+		return err
+	}
+	e.Process = p
+	return nil
+}
+
+// writeSettings makes certificates and settings of all entry daemons.
+func (in *Installation) writeSettings() error {
+	now := time.Now()
+	authority, err := messenger.NewAuthority("demo", now)
+	if err != nil {
+		return err
+	}
+	ca := filepath.Join(in.cfg.Dir, "ca.pem")
+	if err := authority.WriteCertificate(ca); err != nil {
+		return err
+	}
+	var contacts []string
+	for zone := range in.cfg.Zones {
+		for n := range in.cfg.EntriesPerZone {
+			e := &EntryProcess{
+				Process:  &Process{Name: fmt.Sprintf("entry-%s-%d", zoneName(zone), n)},
+				Zone:     zoneName(zone),
+				Callers:  freeAddress("tcp"),
+				Operator: freeAddress("tcp"),
+				Metrics:  freeAddress("tcp"),
+				Peers:    freeAddress("udp"),
+			}
+			e.Settings = filepath.Join(in.cfg.Dir, e.Name+".toml")
+			in.Entries = append(in.Entries, e)
+			contacts = append(contacts, e.Peers)
+		}
+	}
+	hash := sha256.Sum256([]byte(operatorKey))
+	for _, e := range in.Entries {
+		certificate := filepath.Join(in.cfg.Dir, e.Name+".pem")
+		key := filepath.Join(in.cfg.Dir, e.Name+".key")
+		if err := authority.Issue(e.Name, certificate, key, now); err != nil {
+			return err
+		}
+		text := fmt.Sprintf(`name = %q
+region = %q
+availability_zone = %q
+caller_address = %q
+operator_address = %q
+metrics_address = %q
+peer_address = %q
+platform_address = "http://%s"
+contact_peers = ["%s"]
+certificate_file = %q
+private_key_file = %q
+ca_files = [%q]
+operator_key_sha256 = %q
+drain_delay = "200ms"
+`, e.Name, region, e.Zone, e.Callers, e.Operator, e.Metrics, e.Peers, in.Platform.Address,
+			strings.Join(contacts, `", "`), certificate, key, ca, hex.EncodeToString(hash[:]))
+		if err := os.WriteFile(e.Settings, []byte(text), 0o600); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// freeAddress returns a loopback address with a port that was free a moment ago.
+func freeAddress(network string) string {
+	if network == "udp" {
+		if conn, err := net.ListenPacket("udp", "127.0.0.1:0"); err == nil {
+			defer conn.Close()
+			return conn.LocalAddr().String()
+		}
+		return ""
+	}
+	if l, err := net.Listen("tcp", "127.0.0.1:0"); err == nil {
+		defer l.Close()
+		return l.Addr().String()
+	}
+	return ""
+}
+
+func (in *Installation) ready(e *EntryProcess) error {
+	select {
+	case <-e.done:
+		return Error.New("%s ended: %w", e.Name, e.err)
+	default:
+	}
+	return in.get("http://"+e.Metrics+"/ready", nil)
+}
+
+// load writes the settings tree and the fleet as an operator does.
+func (in *Installation) load(ctx context.Context) error {
+	edits, keys, err := in.plan.edits()
+	if err != nil {
+		return err
+	}
+	in.Keys = keys
+	change := configurer.Change{
+		ID:     uuid.NewString(),
+		Author: "demo",
+		Edits:  edits,
+	}
+	if err := in.Operate(ctx, in.Entries[0], http.MethodPost, "/v1/settings/changes", change, nil); err != nil {
+		return err
+	}
+	store := storer.NewClient(storer.ClientConfig{Address: in.Platform.Address})
+	_, err = planner.Update(ctx, store, region, uuid.NewString(), func(f planner.Fleet) (planner.Fleet, error) {
+		for _, w := range in.Workers {
+			next, err := planner.AddVM(f, time.Now(), w.VM, planner.VM{
+				Pool:             w.Pool,
+				Rack:             w.Rack,
+				AvailabilityZone: w.Zone,
+				State:            planner.StateServing,
+			}, in.plan.Pools)
+			if err != nil {
+				return f, err
+			}
+			f = next
+		}
+		return f, nil
+	})
+	return Error.Wrap(err)
+}
+
+// Operate calls the operator API of an entry daemon.
+func (in *Installation) Operate(ctx context.Context, e *EntryProcess, method, path string, body, answer any) error {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.Operator+path, strings.NewReader(string(content)))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	req.Header.Set(server.OperatorKeyHeader, operatorKey)
+	return in.do(req, answer)
+}
+
+// Admin calls the admin API of an emulator.
+func (in *Installation) Admin(ctx context.Context, p *Process, method, path string, body, answer any) error {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.Address+path, strings.NewReader(string(content)))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return in.do(req, answer)
+}
+
+func (in *Installation) get(url string, answer any) error {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return in.do(req, answer)
+}
+
+func (in *Installation) do(req *http.Request, answer any) error {
+	resp, err := in.client.Do(req)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return Error.New("%s %s: %s: %s", req.Method, req.URL.Path, resp.Status, strings.TrimSpace(string(content)))
+	}
+	if answer == nil {
+		return nil
+	}
+	return Error.Wrap(json.Unmarshal(content, answer))
+}
+
+// awaitTargets waits until every entry daemon uses all targets under the newest tree.
+func (in *Installation) awaitTargets(ctx context.Context) error {
+	for _, e := range in.Entries {
+		if err := in.await(ctx, e.Name+" uses all targets", func() error { return in.usesAll(e) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (in *Installation) usesAll(e *EntryProcess) error {
+	page, err := in.Metrics(e)
+	if err != nil {
+		return err
+	}
+	usable := 0
+	for _, line := range strings.Split(page, "\n") {
+		var n int
+		if rest, ok := strings.CutPrefix(line, "comfreyford_usable_targets{"); ok {
+			if _, err := fmt.Sscanf(rest[strings.Index(rest, "} ")+2:], "%d", &n); err == nil {
+				usable += n
+			}
+		}
+	}
+	if usable < len(in.Workers) {
+		return Error.New("%d of %d targets usable", usable, len(in.Workers))
+	}
+	return nil
+}
+
+// Metrics returns the metrics page of an entry daemon.
+func (in *Installation) Metrics(e *EntryProcess) (string, error) {
+	resp, err := in.client.Get("http://" + e.Metrics + "/metrics")
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	return string(content), Error.Wrap(err)
+}
+
+// await repeats check until it succeeds.
+func (in *Installation) await(ctx context.Context, what string, check func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return Error.New("%s: %w", what, err)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// Runs returns the log of runs of all workers.
+func (in *Installation) Runs() ([]emulator.Run, error) {
+	var all []emulator.Run
+	for _, w := range in.Workers {
+		var runs emulator.Runs
+		if err := in.get("http://"+w.Address+"/v1/runs", &runs); err != nil {
+			return nil, err
+		}
+		all = append(all, runs.Runs...)
+	}
+	return all, nil
+}
+
+// Stop stops all processes gracefully, entry daemons first.
+func (in *Installation) Stop(ctx context.Context) error {
+	var err error
+	stopped := make(chan error)
+	for _, e := range in.Entries {
+		go func() { stopped <- e.Stop(ctx) }()
+	}
+	for range in.Entries {
+		err = errors.Join(err, <-stopped)
+	}
+	for _, w := range in.Workers {
+		err = errors.Join(err, w.Stop(ctx))
+	}
+	return errors.Join(err, in.Platform.Stop(ctx), in.log.Close())
+}
+
+func (in *Installation) killAll() {
+	for _, e := range in.Entries {
+		if e.cmd != nil {
+			e.Kill()
+		}
+	}
+	for _, w := range in.Workers {
+		w.Kill()
+	}
+	if in.Platform != nil {
+		in.Platform.Kill()
+	}
+}
--- /dev/null
+++ b/internal/demonstrator/process.go
@@ -0,0 +1,118 @@
+package demonstrator
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	announceTimeout = 10 * time.Second
+	stopTimeout     = 8 * time.Second
+)
+
+// Process is one process of the installation.
+type Process struct {
+	Name    string
+	Address string // what it announced; empty for entry daemons
+	cmd     *exec.Cmd
+	done    chan struct{}
+	err     error
+	once    sync.Once
+}
+
+// start starts the program with arguments. Its log goes to log.
+func start(program, name string, log io.Writer, announces bool, args ...string) (*Process, error) {
+	cmd := exec.Command(program, args...)
+	cmd.Stderr = log
+	p := &Process{
+		Name: name,
+		cmd:  cmd,
+		done: make(chan struct{}),
+	}
+	var stdout io.ReadCloser
+	if announces {
+		var err error
+		if stdout, err = cmd.StdoutPipe(); err != nil {
+			return nil, Error.Wrap(err)
+		}
+	}
+	// Processes must not outlive the demo, also when it is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	address := make(chan string, 1)
+	go func() {
+		if announces {
+			address <- announced(stdout)
+		}
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	if !announces {
+		return p, nil
+	}
+	select {
+	case p.Address = <-address:
+	case <-time.After(announceTimeout):
+	}
+	if p.Address == "" {
+		p.Kill()
+		return nil, Error.New("%s did not start", name)
+	}
+	return p, nil
+}
+
+// announced reads the line "listening ADDRESS" and then discards the rest.
+func announced(r io.Reader) string {
+	line, err := bufio.NewReader(r).ReadString('\n')
+	if err != nil {
+		return ""
+	}
+	return strings.TrimPrefix(strings.TrimSpace(line), "listening ")
+}
+
+// Signal sends a signal.
+func (p *Process) Signal(s os.Signal) error {
+	return Error.Wrap(p.cmd.Process.Signal(s))
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	p.once.Do(func() {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	})
+}
+
+// Stop ends the process gracefully, and returns an error when it had failed or did
+// not stop in time.
+func (p *Process) Stop(ctx context.Context) error {
+	var err error
+	p.once.Do(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGTERM)
+		timer := time.NewTimer(stopTimeout)
+		defer timer.Stop()
+		select {
+		case <-p.done:
+			if p.err != nil {
+				err = Error.New("%s: %w", p.Name, p.err)
+			}
+			return
+		case <-timer.C:
+			err = Error.New("%s did not stop in time", p.Name)
+		case <-ctx.Done():
+			err = Error.Wrap(ctx.Err())
+		}
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	})
+	return err
+}
