measurer: show the lower half of error bars

Change: grey bars; struct literals have one field per line. Ruled out: separate points for the least value, which overlap at small spreads. Conclusion: the plots show both ends of the spread.

--- a/internal/measurer/export.go
+++ b/internal/measurer/export.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/csv"
 	"errors"
+	"image/color"
 	"io"
 	"os"
 	"path/filepath"
@@ -106,6 +107,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	chart.Color = color.Gray{Y: 0xb0} // the lower half of an error bar stays visible
 	errorBars, err := plotter.NewYErrorBars(spreads)
 	if err != nil {
 		return Error.Wrap(err)
--- a/internal/measurer/workload.go
+++ b/internal/measurer/workload.go
@@ -34,11 +34,26 @@
 
 func services() []service {
 	return []service{
-		{name: "quotes", workers: 10},
-		{name: "stock", workers: 8},
-		{name: "orders", workers: 12},
-		{name: "reorder", workers: 9},
-		{name: "ledger", workers: 11},
+		{
+			name:    "quotes",
+			workers: 10,
+		},
+		{
+			name:    "stock",
+			workers: 8,
+		},
+		{
+			name:    "orders",
+			workers: 12,
+		},
+		{
+			name:    "reorder",
+			workers: 9,
+		},
+		{
+			name:    "ledger",
+			workers: 11,
+		},
 	}
 }
 
@@ -51,12 +66,36 @@
 
 func teams() []team {
 	return []team{
-		{name: "schools", weight: 4, demand: 0.30},
-		{name: "clubs", weight: 3, demand: 0.30},
-		{name: "hotels", weight: 2, demand: 0.20},
-		{name: "planning", weight: 1, demand: 0.10},
-		{name: "colours", weight: 1, demand: 0.07},
-		{name: "audit", weight: 1, demand: 0.03},
+		{
+			name:   "schools",
+			weight: 4,
+			demand: 0.30,
+		},
+		{
+			name:   "clubs",
+			weight: 3,
+			demand: 0.30,
+		},
+		{
+			name:   "hotels",
+			weight: 2,
+			demand: 0.20,
+		},
+		{
+			name:   "planning",
+			weight: 1,
+			demand: 0.10,
+		},
+		{
+			name:   "colours",
+			weight: 1,
+			demand: 0.07,
+		},
+		{
+			name:   "audit",
+			weight: 1,
+			demand: 0.03,
+		},
 	}
 }
 
@@ -70,9 +109,24 @@
 
 func kinds() []kind {
 	return []kind{
-		{class: configurer.ClassUrgent, part: 0.1, mean: 200 * time.Millisecond, deadline: 30 * time.Second},
-		{class: configurer.ClassInteractive, part: 0.6, mean: 400 * time.Millisecond, deadline: 30 * time.Second},
-		{class: configurer.ClassDeferrable, part: 0.3, mean: 1500 * time.Millisecond, deadline: time.Hour},
+		{
+			class:    configurer.ClassUrgent,
+			part:     0.1,
+			mean:     200 * time.Millisecond,
+			deadline: 30 * time.Second,
+		},
+		{
+			class:    configurer.ClassInteractive,
+			part:     0.6,
+			mean:     400 * time.Millisecond,
+			deadline: 30 * time.Second,
+		},
+		{
+			class:    configurer.ClassDeferrable,
+			part:     0.3,
+			mean:     1500 * time.Millisecond,
+			deadline: time.Hour,
+		},
 	}
 }
 
--- a/internal/measurer/world.go
+++ b/internal/measurer/world.go
@@ -102,8 +102,13 @@
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 		arrive:  generate(cfg, rand.New(rand.NewPCG(seed, 2))),
 		workers: map[string]*worker{},
-		pools:   planner.Pools{spare: {Region: "r", Spare: true}},
-		moves:   policy.Rebalancing(),
+		pools: planner.Pools{
+			spare: {
+				Region: "r",
+				Spare:  true,
+			},
+		},
+		moves: policy.Rebalancing(),
 		result: Result{
 			Policy: policy.Name,
 			Seed:   seed,
@@ -111,7 +116,11 @@
 		},
 	}
 	w.fleet, _ = planner.Decode("r", nil) // an empty document is valid
-	for _, s := range append(services(), service{name: spare, workers: spareWorkers}) {
+	all := append(services(), service{
+		name:    spare,
+		workers: spareWorkers,
+	})
+	for _, s := range all {
 		if s.name != spare {
 			w.pools[s.name] = configurer.Pool{
 				Region:         "r",
