--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -19,6 +19,7 @@
 	return []*cli.Command{
 		demoCommand(),
 		entryCommand(),
+		loadCommand(),
 		platformCommand(),
 		workerCommand(),
 		checkCommand(),
--- a/internal/demonstrator/installation.go
+++ b/internal/demonstrator/installation.go
@@ -279,7 +279,7 @@
 func freeAddress(network string) string {
 	if network == "udp" {
 		if conn, err := net.ListenPacket("udp", "127.0.0.1:0"); err == nil {
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			return conn.LocalAddr().String()
 		}
 		return ""
--- a/internal/dispatcher/journaled.go
+++ b/internal/dispatcher/journaled.go
@@ -74,7 +74,7 @@
 }
 
 func certain(result Result, uncertain bool) Result {
-	if !uncertain || result.Outcome != OutcomeNotRun {
+	if !uncertain || result.Outcome != OutcomeNotRun || result.Reason == ReasonCallerLost {
 		return result
 	}
 	return Unknown(ReasonPeerLost, "an earlier try may have run; "+result.Detail)
--- a/internal/dispatcher/outcome.go
+++ b/internal/dispatcher/outcome.go
@@ -49,6 +49,9 @@
 	ReasonTargetLost         Reason = "target_lost"
 	ReasonPeerLost           Reason = "peer_lost"
 	ReasonAttemptsExhausted  Reason = "attempts_exhausted"
+	// ReasonCallerLost is read from the record of the identity: the entry daemon that
+	// held the request was lost before it started it. It holds for every try of the identity.
+	ReasonCallerLost Reason = "caller_lost"
 )
 
 // reasonStatus gives the HTTP status of a reason and whether a later try may succeed.
@@ -165,6 +168,10 @@
 			reason: ReasonPeerLost,
 			status: http.StatusBadGateway,
 		},
+		{
+			reason: ReasonCallerLost,
+			status: http.StatusServiceUnavailable,
+		},
 		{
 			reason: ReasonAttemptsExhausted,
 			status: http.StatusBadGateway,
--- a/internal/generator/caller.go
+++ b/internal/generator/caller.go
@@ -83,6 +83,7 @@
 
 func notRun(uncertain bool, last try) (Outcome, string) {
 	detail := fmt.Sprintf("%d %s %v", last.status, last.reason, last.err)
+	uncertain = uncertain && last.reason != dispatcher.ReasonCallerLost
 	if uncertain || last.outcome != dispatcher.OutcomeNotRun {
 		return OutcomeUnknown, detail
 	}
