Serve open queues although the key of the request can't be checked

Cause: a caller that sends its key with every request was refused on open queues too while the configuration was stale, against the rule that open queues go on in every case. Change: the refusal of the key goes to admission, which ignores it on queues open to all. Ruled out: checking the queue in the HTTP handler; the queue is part of the configuration that the dispatcher reads once per request. Conclusion: open queues depend on no key.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -350,6 +350,8 @@
 	case queue.Open:
 		// Work on open queues belongs to no team and counts against no limit.
 		r.Team = ""
+	case r.KeyRefusal != "":
+		return refuse(r.KeyRefusal, "the key was not accepted")
 	case r.Team == "":
 		return refuse(ReasonKeyRequired, "the queue is not open to all")
 	case !d.cfg.Fresh():
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -22,6 +22,7 @@
 	Identity    string // Idempotency-Key; empty when the caller sent none
 	Team        string // empty when the caller sent no key
 	KeyID       string
+	KeyRefusal  Reason    // why the key that came with the request was not accepted; ignored on open queues
 	Deadline    time.Time // zero: the default of the queue's class
 	Body        io.Reader
 	Hops        int // times the request was forwarded between entry daemons
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -48,7 +48,8 @@
 // CallerConfig configures the caller's API.
 type CallerConfig struct {
 	Dispatcher Dispatcher
-	// Authenticate checks the value of HeaderKey. A reason other than "" refuses the request.
+	// Authenticate checks the value of HeaderKey. A reason other than "" refuses the
+	// request, unless its queue is open to all.
 	Authenticate    func(key string) (Credential, dispatcher.Reason)
 	MaxRequestBytes int64
 	Logger          hclog.Logger
@@ -76,11 +77,7 @@
 		c.answer(w, dispatcher.NotRun(dispatcher.ReasonBadRequest, err.Error()))
 		return
 	}
-	credential, reason := c.cfg.Authenticate(r.Header.Get(HeaderKey))
-	if reason != "" {
-		c.answer(w, dispatcher.NotRun(reason, "the key was not accepted"))
-		return
-	}
+	credential, refusal := c.cfg.Authenticate(r.Header.Get(HeaderKey))
 	if r.ContentLength > c.cfg.MaxRequestBytes {
 		c.answer(w, dispatcher.NotRun(dispatcher.ReasonBodyTooLarge, "the body exceeds "+strconv.FormatInt(c.cfg.MaxRequestBytes, 10)+" bytes"))
 		return
@@ -100,6 +97,7 @@
 		Identity:    r.Header.Get(HeaderIdentity),
 		Team:        credential.Team,
 		KeyID:       credential.KeyID,
+		KeyRefusal:  refusal,
 		Deadline:    deadline,
 		Body:        http.MaxBytesReader(w, r.Body, c.cfg.MaxRequestBytes),
 	}))
