Hand back idle allowance when an entry daemon leaves with work running

Ruled out: waiting for the jobs to end, which may take an hour. The new test fails with the change switched off. Conclusion: idle slots are usable again at once after a graceful stop.

--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -404,7 +404,9 @@
 	defer cancel()
 	if err := e.limits.Leave(ctx); err != nil {
 		e.logger("limits").Warn("allowance not handed back", "error", err)
-		return
+		if !errors.Is(err, limiter.ErrRunning) {
+			return
+		}
 	}
 	if err := e.registrar.Leave(ctx); err != nil {
 		e.logger("members").Warn("record not marked as left", "error", err)
--- a/pkg/limiter/balance.go
+++ b/pkg/limiter/balance.go
@@ -266,7 +266,10 @@
 	return TransferAnswer{Granted: granted}, nil
 }
 
-// Leave hands all allowances back. No work may be running, and Run must have ended.
+// Leave hands the allowances back. Run must have ended, and nothing may be started
+// or renewed any more. What still runs keeps its slots and gives ErrRunning; other
+// members reclaim them once the member record is marked as left and the sessions of
+// this holder have ended.
 func (k *Keeper) Leave(ctx context.Context) error {
 	var failed error
 	k.cfg.Holder.accounts.Range(func(_, v any) bool {
@@ -284,14 +287,19 @@
 	}
 	defer a.unlock()
 	running := 0
-	err := k.commit(ctx, a, true, nil, func(l Ledger, _ uint64) (Ledger, bool) {
+	err := k.commit(ctx, a, true, nil, func(l Ledger, sequence uint64) (Ledger, bool) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		s, ok := l.Share(k.cfg.Holder.id)
-		if running = a.running; running > 0 || !ok {
+		if !ok {
 			return l, false
 		}
-		a.withheld = s.Allowance
+		running = a.running
+		a.withheld = max(0, s.Allowance-running)
+		if running > 0 {
+			l, returned := l.Return(k.cfg.Holder.id, a.withheld, sequence)
+			return l, returned > 0
+		}
 		l, _ = l.Reclaim(k.cfg.Holder.id)
 		return l, true
 	})
--- a/pkg/limiter/limit_test.go
+++ b/pkg/limiter/limit_test.go
@@ -246,6 +246,23 @@
 	})
 }
 
+// TestLeaveKeepsSlotsOfRunningWork guards against a holder that leaves and hands back
+// slots whose work still runs, or keeps the idle ones stranded.
+func TestLeaveKeepsSlotsOfRunningWork(t *testing.T) {
+	bubble(t, 1, 2, 10, func(f *fleet) {
+		f.run(2 * time.Second)
+		n := f.nodes[0]
+		f.set(func() { n.demand, n.jobTime = 7, 100*time.Second })
+		f.run(5 * time.Second)
+		if err := n.keeper.Leave(f.ctx); !errors.Is(err, ErrRunning) {
+			t.Fatalf("got %v, want ErrRunning", err)
+		}
+		if s, _ := f.ledger().Share(n.holder.id); s.Allowance != 7 {
+			t.Fatalf("the share is %d slots, want the 7 that run: %+v", s.Allowance, f.ledger())
+		}
+	})
+}
+
 // TestAcquireStopsWithRight guards against work that starts after the right has run out.
 func TestAcquireStopsWithRight(t *testing.T) {
 	bubble(t, 1, 2, 4, func(f *fleet) {
