--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -244,14 +244,16 @@
 
 // followMembers gives the journal its live members and the queues the usage of peers.
 func (e *Entry) followMembers(ctx context.Context) error {
+	var m memberView
 	return every(ctx, memberInterval, func() {
 		now := time.Now()
-		members := []string{e.cfg.Settings.Name}
+		var names []string
 		for _, p := range e.peers.live(now) {
-			members = append(members, p.name)
+			names = append(names, p.name)
 		}
-		e.pacer.SetRate(journalWritesPerSecond / float64(len(members)))
-		if e.registrar.Right().Valid(now) {
+		members, known := m.observe(now, e.cfg.Settings.Name, names)
+		if known && e.registrar.Right().Valid(now) {
+			e.pacer.SetRate(journalWritesPerSecond / float64(max(1, len(members))))
 			call, cancel := context.WithTimeout(ctx, syncTimeout)
 			e.journal.SetMembers(call, members)
 			cancel()
@@ -262,6 +264,28 @@
 	})
 }
 
+// memberView decides when the reports of peers tell who is live. A process that has
+// just started or was paused has heard nobody, and would take over the shards of all.
+type memberView struct {
+	joined   bool
+	last     time.Time
+	complete time.Time // when every live peer has had the time to report
+}
+
+// observe returns the live members, and false while they are not known. Before this
+// member has joined it leaves itself out, so that others keep their shards.
+func (m *memberView) observe(now time.Time, self string, peers []string) ([]string, bool) {
+	if now.Sub(m.last) > reportTimeout/2 {
+		m.complete = now.Add(reportTimeout)
+	}
+	m.last = now
+	if now.Before(m.complete) {
+		return peers, !m.joined
+	}
+	m.joined = true
+	return append([]string{self}, peers...), true
+}
+
 // syncFleet keeps the view of the targets up to date.
 func (e *Entry) syncFleet(ctx context.Context) error {
 	return every(ctx, fleetInterval, func() {
--- a/internal/demonstrator/installation.go
+++ b/internal/demonstrator/installation.go
@@ -16,6 +16,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,8 +25,10 @@
 
 	"github.com/comfreyford/comfreyford/internal/emulator"
 	"github.com/comfreyford/comfreyford/internal/messenger"
+	"github.com/comfreyford/comfreyford/internal/recorder"
 	"github.com/comfreyford/comfreyford/internal/server"
 	"github.com/comfreyford/comfreyford/pkg/configurer"
+	"github.com/comfreyford/comfreyford/pkg/journaler"
 	"github.com/comfreyford/comfreyford/pkg/planner"
 	"github.com/comfreyford/comfreyford/pkg/storer"
 )
@@ -395,29 +398,54 @@
 			return err
 		}
 	}
-	return nil
+	return in.await(ctx, "all journal shards owned", in.ownsAll)
 }
 
 func (in *Installation) usesAll(e *EntryProcess) error {
-	page, err := in.Metrics(e)
+	usable, err := in.gauge(e, recorder.UsableTargets)
 	if err != nil {
 		return err
 	}
-	usable := 0
-	for _, line := range strings.Split(page, "\n") {
-		var n int
-		if rest, ok := strings.CutPrefix(line, "comfreyford_usable_targets{"); ok {
-			if _, err := fmt.Sscanf(rest[strings.Index(rest, "} ")+2:], "%d", &n); err == nil {
-				usable += n
-			}
-		}
-	}
 	if usable < len(in.Workers) {
 		return Error.New("%d of %d targets usable", usable, len(in.Workers))
 	}
 	return nil
 }
 
+func (in *Installation) ownsAll() error {
+	owned := 0
+	for _, e := range in.Entries {
+		n, err := in.gauge(e, recorder.OwnedShards)
+		if err != nil {
+			return err
+		}
+		owned += n
+	}
+	if owned < journaler.Shards {
+		return Error.New("%d of %d shards owned", owned, journaler.Shards)
+	}
+	return nil
+}
+
+// gauge returns the sum of a gauge over its labels.
+func (in *Installation) gauge(e *EntryProcess, name string) (int, error) {
+	page, err := in.Metrics(e)
+	if err != nil {
+		return 0, err
+	}
+	sum := 0
+	for _, line := range strings.Split(page, "\n") {
+		fields := strings.Fields(line)
+		if len(fields) != 2 || !strings.HasPrefix(line, name) {
+			continue
+		}
+		if n, err := strconv.Atoi(fields[1]); err == nil {
+			sum += n
+		}
+	}
+	return sum, nil
+}
+
 // Metrics returns the metrics page of an entry daemon.
 func (in *Installation) Metrics(e *EntryProcess) (string, error) {
 	resp, err := in.client.Get("http://" + e.Metrics + "/metrics")
