Drop all idle connections to the platform when one has gone silent

Cause: connections that a middlebox lost track of stay idle in the client's pool, and each later call picked another silent one and timed out, so that the freshness of the configuration (3 s) ran out although new connections worked. Change: a failed call closes the idle connections of its client. Ruled out: a shorter timeout alone; 16 idle connections would still cost 16 failed calls. Figures: with 8 silent connections, the second call fails before and succeeds now (virtual time); the new test fails without the change. Conclusion: one failed call replaces all connections.

--- a/pkg/lister/client.go
+++ b/pkg/lister/client.go
@@ -101,6 +101,8 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		// If one connection has gone silent, the idle ones may have too: new ones work.
+		c.http.CloseIdleConnections()
 		return failed(err)
 	}
 	defer resp.Body.Close()
--- a/pkg/storer/client.go
+++ b/pkg/storer/client.go
@@ -209,6 +209,8 @@
 	}
 	resp, err := c.http.Do(httpReq)
 	if err != nil {
+		// If one connection has gone silent, the idle ones may have too: new ones work.
+		c.http.CloseIdleConnections()
 		return failed(err)
 	}
 	defer resp.Body.Close()
--- a/pkg/storer/client_test.go
+++ b/pkg/storer/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,3 +166,91 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// lostConn is a connection that a middlebox may lose track of: it then takes all
+// writes and delivers nothing.
+type lostConn struct {
+	net.Conn
+	lost   <-chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *lostConn) isLost() bool {
+	select {
+	case <-c.lost:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *lostConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.isLost() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *lostConn) Write(p []byte) (int, error) {
+	if c.isLost() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *lostConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// TestClientReplacesSilentConnections guards against one time-out after another while
+// the client works through its idle connections that have all gone silent.
+func TestClientReplacesSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := emulator.NewMemoryListener()
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(time.Millisecond)       // so that concurrent calls need connections of their own
+			io.WriteString(w, `{"version":1}`) //nolint:errcheck // the client may have gone
+		})}
+		go server.Serve(listener) //nolint:errcheck // ends with Close
+		lost := make(chan struct{})
+		present := lost
+		client := storer.NewClient(storer.ClientConfig{
+			Address: "platform",
+			Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := listener.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &lostConn{
+					Conn:   conn,
+					lost:   present,
+					closed: make(chan struct{}),
+				}, nil
+			},
+		})
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() {
+				if _, err := client.Get(t.Context(), "a"); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		close(lost)
+		present = make(chan struct{})
+		if _, err := client.Get(t.Context(), "a"); !errors.Is(err, storer.ErrUnavailable) {
+			t.Fatalf("error over a silent connection is %v, want %v", err, storer.ErrUnavailable)
+		}
+		if _, err := client.Get(t.Context(), "a"); err != nil {
+			t.Fatalf("the call after the time-out failed: %v", err)
+		}
+		client.Close()
+		server.Close()
+		synctest.Wait()
+	})
+}
