--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -39,6 +39,7 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		Commands:       verbs(),
+		Action:         runRoot,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
 	}
@@ -53,3 +54,11 @@
 	}
 	return 0
 }
+
+// runRoot runs without a subcommand.
+func runRoot(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return fmt.Errorf("unknown command %q; `comfreyford help` lists the commands", cmd.Args().First())
+	}
+	return cli.ShowRootCommandHelp(cmd)
+}
