Run an idempotent request here when the peer it was forwarded to is lost

Cause: a request that was forwarded for lack of allowance ended as outcome unknown when the peer died, although it may run again. Change: it is run here instead, and a later refusal is then no 'not run'. Conclusion: losing a peer costs idempotent requests time only.

--- a/internal/dispatcher/online.go
+++ b/internal/dispatcher/online.go
@@ -31,19 +31,23 @@
 		return bodyRefusal(err)
 	}
 	ctx, cancel := context.WithDeadline(ctx, p.Deadline)
+	forwarded := false // to a peer that was lost, so that it may have run there
 	if peer := d.elsewhere(ctx, p); peer != "" {
 		r := p.Request
 		r.Body = body.open()
 		result := d.cfg.Peers.Forward(ctx, peer, r)
-		if result.Reason != ReasonPeerUnreachable || !body.replayable() {
+		lost := result.Reason == ReasonPeerUnreachable || result.Reason == ReasonPeerLost
+		if !lost || !body.replayable() || ctx.Err() != nil {
 			return ending(result, cancel)
 		}
+		forwarded = result.Outcome == OutcomeUnknown
 	}
 	a := &attempts{
-		d:     d,
-		p:     p,
-		body:  body,
-		start: time.Now(),
+		d:          d,
+		p:          p,
+		body:       body,
+		start:      time.Now(),
+		mayHaveRun: forwarded,
 	}
 	d.count(p.key())
 	return ending(a.run(ctx), cancel)
