Add the fleet and status API, fleet, status, wave and certificates commands

Cause: operators could change the settings tree only. VMs, waves and certificates had no tools, and no view showed the fleet.

Ruled out: storing the caller's operation id alone in the fleet document, because an id that is used again for another change would be answered as done without effect; the recorded id includes a hash of the change. Also ruled out: a status that fails during an outage, and one that shows zeros for figures that were not read.

Change: GET /v1/fleet, POST /v1/fleet/changes (all or nothing, through planner.Update) and GET /v1/status, with the authentication and the body limit of the settings tree. Commands fleet, status, wave, certificates, operator-key and a hidden reference. Certificates are issued to end with their CA at the latest, and PEM files are created only if absent. Wrong flags and unknown subcommands give one line instead of the whole help. An operator API that cannot be reached is no longer reported as a change whose outcome is unknown.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -22,8 +23,14 @@
 		workerCommand(),
 		checkCommand(),
 		settingsCommand(),
+		fleetCommand(),
+		statusCommand(),
+		waveCommand(),
+		certificatesCommand(),
+		operatorKeyCommand(),
 		measureCommand(),
 		versionCommand(),
+		referenceCommand(),
 	}
 }
 
@@ -41,9 +48,7 @@
 		OnUsageError:   func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
 	}
 	for _, verb := range root.Commands {
-		verb.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
-			return fmt.Errorf("%s: %w", cmd.Name, err)
-		}
+		reportUsage(verb, verb.Name)
 	}
 	if err := root.Run(ctx, args); err != nil {
 		fmt.Fprintf(stderr, "comfreyford: %v\n", err)
@@ -51,3 +56,22 @@
 	}
 	return 0
 }
+
+// reportUsage makes wrong flags and unknown subcommands errors of one line, which name
+// the command. The library would print the whole help.
+func reportUsage(cmd *cli.Command, name string) {
+	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	if len(cmd.Commands) == 0 {
+		return
+	}
+	var names []string
+	for _, sub := range cmd.Commands {
+		names = append(names, sub.Name)
+		reportUsage(sub, name+" "+sub.Name)
+	}
+	cmd.Action = func(_ context.Context, cmd *cli.Command) error {
+		return fmt.Errorf("%s: got subcommand %q; want one of %s", name, cmd.Args().First(), strings.Join(names, ", "))
+	}
+}
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -1,20 +1,26 @@
 package commander
 
 import (
+	"context"
 	"crypto/sha256"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/urfave/cli/v3"
 
 	"github.com/comfreyford/comfreyford/internal/server"
 	"github.com/comfreyford/comfreyford/pkg/configurer"
+	"github.com/comfreyford/comfreyford/pkg/planner"
 	"github.com/comfreyford/comfreyford/pkg/storer"
 )
 
@@ -30,6 +36,62 @@
 
 func (everyMember) Missing(uint64) []string { return nil }
 
+func (everyMember) MemberStatus() []server.MemberStatus {
+	return []server.MemberStatus{{
+		Name:             "entry-2",
+		AvailabilityZone: "north-b",
+		Revision:         1,
+	}, {
+		Name:             "entry-1",
+		AvailabilityZone: "north-a",
+		Revision:         1,
+		Live:             true,
+	}}
+}
+
+func (everyMember) RunningSlots(string) int { return 3 }
+
+func (everyMember) PoolStatus() []server.PoolStatus {
+	return []server.PoolStatus{{
+		Name:    "quotes",
+		Usable:  2,
+		Ejected: 1,
+		Queued:  4,
+	}}
+}
+
+// maintain is the script command that does N steps of maintenance, ten minutes apart. The
+// platform completes each reboot at once, except those of the VMs that are named.
+func maintain(ts *testscript.TestScript, neg bool, args []string) {
+	n, err := strconv.Atoi(args[0])
+	if neg || err != nil {
+		ts.Fatalf("usage: maintain N [VM...]")
+	}
+	committer := ts.Value("committer").(*configurer.Committer)
+	start := time.Now()
+	for i := range n {
+		_, err := planner.Update(context.Background(), committer.Store, "north", uuid.NewString(), func(f planner.Fleet) (planner.Fleet, error) {
+			tree := committer.View.Current().Tree
+			in := planner.Input{
+				Pools: tree.Pools,
+				Waves: tree.Waves,
+			}
+			for id, vm := range f.VMs {
+				status := planner.VMStatus{
+					ID:   id,
+					Live: !slices.Contains(args[1:], id),
+				}
+				if status.Live {
+					status.Operation = vm.Operation
+				}
+				in.VMs = append(in.VMs, status)
+			}
+			return planner.Plan(f, start.Add(time.Duration(i)*10*time.Minute), in), nil
+		})
+		ts.Check(err)
+	}
+}
+
 // loseAnswers passes requests on and drops the answer to the first change.
 func loseAnswers(h http.Handler) http.Handler {
 	var lost atomic.Bool
@@ -46,14 +108,19 @@
 // Guards against command lines that end with another status, output or effect than their help says.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir: "testdata",
+		Dir:  "testdata",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"maintain": maintain},
 		Setup: func(env *testscript.Env) error {
+			committer := &configurer.Committer{
+				Store: storer.NewMemory(),
+				View:  configurer.NewView(nil),
+			}
+			env.Values["committer"] = committer
 			handler := server.NewOperator(server.OperatorConfig{
-				Committer: &configurer.Committer{
-					Store: storer.NewMemory(),
-					View:  configurer.NewView(nil),
-				},
+				Committer:      committer,
 				Members:        everyMember{},
+				Region:         "north",
+				Status:         everyMember{},
 				KeySHA256:      sha256.Sum256([]byte(testOperatorKey)),
 				BodyLimitBytes: 1 << 20,
 			})
--- a/internal/commander/settings.go
+++ b/internal/commander/settings.go
@@ -38,23 +38,7 @@
 	return &cli.Command{
 		Name:  "settings",
 		Usage: settingsUsage,
-		Flags: []cli.Flag{
-			&cli.StringFlag{
-				Name:    "address",
-				Usage:   "URL of the operator API of any entry daemon",
-				Sources: cli.EnvVars("COMFREYFORD_OPERATOR_ADDRESS"),
-			},
-			&cli.StringFlag{
-				Name:    "key-file",
-				Usage:   "file with the operator key",
-				Sources: cli.EnvVars("COMFREYFORD_OPERATOR_KEY_FILE"),
-			},
-			&cli.StringFlag{
-				Name:    "ca-file",
-				Usage:   "PEM certificates that are trusted besides those of the system, for https",
-				Sources: cli.EnvVars("COMFREYFORD_CA_FILE"),
-			},
-		},
+		Flags: operatorFlags(),
 		Commands: []*cli.Command{
 			settingsGetCommand(),
 			settingsListCommand(),
@@ -68,6 +52,27 @@
 	}
 }
 
+// operatorFlags are the flags of all commands that use the operator API.
+func operatorFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Name:    "address",
+			Usage:   "URL of the operator API of any entry daemon",
+			Sources: cli.EnvVars("COMFREYFORD_OPERATOR_ADDRESS"),
+		},
+		&cli.StringFlag{
+			Name:    "key-file",
+			Usage:   "file with the operator key",
+			Sources: cli.EnvVars("COMFREYFORD_OPERATOR_KEY_FILE"),
+		},
+		&cli.StringFlag{
+			Name:    "ca-file",
+			Usage:   "PEM certificates that are trusted besides those of the system, for https",
+			Sources: cli.EnvVars("COMFREYFORD_CA_FILE"),
+		},
+	}
+}
+
 // changeFlags are the flags of all commands that change the tree.
 func changeFlags() []cli.Flag {
 	return []cli.Flag{
@@ -98,6 +103,7 @@
 // operatorClient speaks to the operator API.
 type operatorClient struct {
 	base   string
+	prefix string // of all paths
 	key    string
 	client *http.Client
 }
@@ -129,8 +135,9 @@
 		transport.TLSClientConfig = &tls.Config{RootCAs: pool}
 	}
 	return &operatorClient{
-		base: strings.TrimSuffix(address, "/") + "/v1/settings/",
-		key:  strings.TrimSpace(string(key)),
+		base:   strings.TrimSuffix(address, "/") + "/v1/",
+		prefix: "settings/",
+		key:    strings.TrimSpace(string(key)),
 		client: &http.Client{
 			Transport: transport,
 			// A redirect would carry the operator key to another host.
@@ -182,6 +189,27 @@
 // Unwrap returns the error of the last try.
 func (u *unknownOutcome) Unwrap() error { return u.err }
 
+// unreachable means that no connection was made, so that nothing was sent.
+type unreachable struct {
+	address string
+	err     error
+}
+
+// Error implements error.
+func (u *unreachable) Error() string {
+	return fmt.Sprintf("the operator API at %s cannot be reached: %v", u.address, u.err)
+}
+
+// Unwrap returns the error of the connection.
+func (u *unreachable) Unwrap() error { return u.err }
+
+// fleet returns the client for the fleet and the status, which are no part of the settings.
+func (c *operatorClient) fleet() *operatorClient {
+	other := *c
+	other.prefix = ""
+	return &other
+}
+
 // get sends a read request.
 func (c *operatorClient) get(ctx context.Context, path string, query url.Values, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, settingsRequestTimeout+server.MaxWatchWait)
@@ -193,9 +221,15 @@
 // makes repeats harmless.
 func (c *operatorClient) change(ctx context.Context, method, path, id string, body any) (server.ChangeAnswer, error) {
 	var a server.ChangeAnswer
+	err := c.repeat(ctx, method, path, id, body, &a)
+	return a, err
+}
+
+// repeat sends a body until the outcome is known and decodes the answer into v.
+func (c *operatorClient) repeat(ctx context.Context, method, path, id string, body, v any) error {
 	text, err := json.Marshal(body)
 	if err != nil {
-		return a, err
+		return err
 	}
 	unknown := false
 	for i := range settingsTries {
@@ -205,25 +239,27 @@
 			case <-ctx.Done():
 			}
 		}
-		err = c.try(ctx, method, path, text, &a)
+		err = c.try(ctx, method, path, text, v)
 		if err == nil {
-			return a, nil
+			return nil
 		}
 		var refused *refusal
+		var unsent *unreachable
 		switch {
+		case errors.As(err, &unsent):
 		case !errors.As(err, &refused) || refused.answer.Reason == "outcome_unknown" || refused.answer.Reason == "":
 			unknown = true
 		case refused.status != http.StatusServiceUnavailable:
-			return a, err
+			return err
 		}
 	}
 	if unknown {
-		return a, &unknownOutcome{
+		return &unknownOutcome{
 			id:  id,
 			err: err,
 		}
 	}
-	return a, err
+	return err
 }
 
 func (c *operatorClient) try(ctx context.Context, method, path string, text []byte, v any) error {
@@ -233,12 +269,19 @@
 }
 
 func (c *operatorClient) send(ctx context.Context, method, path string, body []byte, v any) error {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, c.base+c.prefix+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
 	req.Header.Set(server.OperatorKeyHeader, c.key)
 	res, err := c.client.Do(req)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return &unreachable{
+			address: c.base,
+			err:     dial.Err,
+		}
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/coordinator/servers.go
+++ b/internal/coordinator/servers.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 		Members:        e,
 		KeySHA256:      key,
 		BodyLimitBytes: s.OperatorBodyLimitBytes,
+		Region:         s.Region,
+		Status:         e,
 		Log:            e.logger("operator"),
 	})
 	for _, h := range []struct {
@@ -183,6 +186,47 @@
 	return missing
 }
 
+// MemberStatus implements server.StatusSource.
+func (e *Entry) MemberStatus() []server.MemberStatus {
+	var members []server.MemberStatus
+	e.registrar.Do(func(s *registrar.State, now time.Time) {
+		live := s.Live(now)
+		members = append(members, server.MemberStatus{
+			Name:             s.Self.Entry,
+			AvailabilityZone: s.Self.AvailabilityZone,
+			Revision:         e.view.Current().Tree.Revision,
+			Live:             true,
+		})
+		for _, m := range s.Known() {
+			members = append(members, server.MemberStatus{
+				Name:             m.Entry,
+				AvailabilityZone: m.AvailabilityZone,
+				// The report is newer than the record, and missing after a restart of this one.
+				Revision: max(m.Revision, s.Others[m.Entry].Revision),
+				Live:     slices.Contains(live, m.Entry),
+			})
+		}
+	})
+	return members
+}
+
+// RunningSlots implements server.StatusSource.
+func (e *Entry) RunningSlots(team string) int { return e.holder.Figures(team).Running }
+
+// PoolStatus implements server.StatusSource.
+func (e *Entry) PoolStatus() []server.PoolStatus {
+	var pools []server.PoolStatus
+	for _, p := range e.dispatcher.Pools() {
+		pools = append(pools, server.PoolStatus{
+			Name:    p.Pool,
+			Usable:  p.Usable,
+			Ejected: p.Ejected,
+			Queued:  p.Queued,
+		})
+	}
+	return pools
+}
+
 // countCalls counts the calls to the key-value service.
 func (e *Entry) countCalls(store storer.Store) storer.Store {
 	return &storer.Faulty{
--- a/internal/messenger/certificate.go
+++ b/internal/messenger/certificate.go
@@ -124,41 +124,81 @@
 	return writePEM(file, "CERTIFICATE", a.der)
 }
 
-// Issue writes a certificate for the entry daemon name and its key to PEM files.
-func (a *Authority) Issue(name, certificateFile, keyFile string, now time.Time) error {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+// LoadAuthority reads an authority from the PEM files of its certificate and key.
+func LoadAuthority(certificateFile, keyFile string) (*Authority, error) {
+	pair, err := tls.LoadX509KeyPair(certificateFile, keyFile)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	key, ok := pair.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok || !pair.Leaf.IsCA {
+		return nil, Error.New("%s: want the certificate of an authority with an ECDSA key", certificateFile)
+	}
+	return &Authority{
+		certificate: pair.Leaf,
+		der:         pair.Certificate[0],
+		key:         key,
+	}, nil
+}
+
+// NotAfter returns when the authority ends, and with it every certificate that it signed.
+func (a *Authority) NotAfter() time.Time { return a.certificate.NotAfter }
+
+// WriteKey writes the authority's private key to a PEM file.
+func (a *Authority) WriteKey(file string) error {
+	der, err := x509.MarshalPKCS8PrivateKey(a.key)
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	return writePEM(file, "PRIVATE KEY", der)
+}
+
+// Issue writes a certificate for the entry daemon name and its key to PEM files. The
+// certificate ends with the authority at the latest: peers refuse it from then on. It returns when the certificate ends.
+func (a *Authority) Issue(name, certificateFile, keyFile string, now time.Time) (notAfter time.Time, err error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return time.Time{}, Error.Wrap(err)
+	}
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(now.UnixNano()),
 		Subject:      pkix.Name{CommonName: name},
 		NotBefore:    now.Add(-time.Hour),
-		NotAfter:     now.Add(certificateLifetime),
+		NotAfter:     earlier(now.Add(certificateLifetime), a.certificate.NotAfter),
 		KeyUsage:     x509.KeyUsageDigitalSignature,
 		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
 	if err != nil {
-		return Error.Wrap(err)
+		return time.Time{}, Error.Wrap(err)
 	}
 	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
 	if err != nil {
-		return Error.Wrap(err)
+		return time.Time{}, Error.Wrap(err)
 	}
-	return errors.Join(
+	return template.NotAfter, errors.Join(
 		writePEM(certificateFile, "CERTIFICATE", der),
 		writePEM(keyFile, "PRIVATE KEY", keyDER),
 	)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// writePEM creates a file. It replaces none, because a lost key cannot be made again.
 func writePEM(file, kind string, der []byte) error {
 	content := pem.EncodeToMemory(&pem.Block{
 		Type:  kind,
 		Bytes: der,
 	})
-	if err := os.WriteFile(file, content, 0o600); err != nil {
+	f, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
 		return Error.Wrap(err)
 	}
-	return nil
+	_, err = f.Write(content)
+	return Error.Wrap(errors.Join(err, f.Close()))
 }
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -39,7 +39,7 @@
 		}
 		files.CAs = append(files.CAs, file)
 	}
-	if err := authority.Issue(name, files.Certificate, files.Key, time.Now()); err != nil {
+	if _, err := authority.Issue(name, files.Certificate, files.Key, time.Now()); err != nil {
 		t.Fatal(err)
 	}
 	cfg, err := LoadTLS(files)
--- a/internal/recorder/table.go
+++ b/internal/recorder/table.go
@@ -1,5 +1,11 @@
 package recorder
 
+import (
+	"cmp"
+	"fmt"
+	"strings"
+)
+
 // Kind is the kind of an instrument.
 type Kind string
 
@@ -160,3 +166,13 @@
 		},
 	}
 }
+
+// Reference returns the table of metrics in markdown.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("| Metric | Kind | Unit | Labels | Meaning |\n|---|---|---|---|---|\n")
+	for _, m := range Table() {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", m.Name, m.Kind, m.Unit, cmp.Or(m.Labels, "none"), m.Help)
+	}
+	return b.String()
+}
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -58,6 +58,8 @@
 	Members        Members
 	KeySHA256      [sha256.Size]byte
 	BodyLimitBytes int64
+	Region         string       // of the fleet document
+	Status         StatusSource // nil: this entry daemon has no figures of its own
 	Log            hclog.Logger // nil: no log
 }
 
@@ -132,6 +134,7 @@
 	o.mux.HandleFunc("GET /v1/settings/history", o.history)
 	o.mux.HandleFunc("POST /v1/settings/keys/issue", o.issueKey)
 	o.mux.HandleFunc("POST /v1/settings/keys/withdraw", o.withdrawKey)
+	o.routeFleet()
 	return o
 }
 
--- a/internal/server/operator_test.go
+++ b/internal/server/operator_test.go
@@ -45,10 +45,16 @@
 	})
 }
 
-// call sends a request and decodes the answer.
+// call sends a request for the settings tree and decodes the answer.
 func call(t *testing.T, o http.Handler, method, path, body string, v any) int {
 	t.Helper()
-	r := httptest.NewRequestWithContext(t.Context(), method, "/v1/settings/"+path, strings.NewReader(body))
+	return request(t, o, method, "/v1/settings/"+path, body, v)
+}
+
+// request sends a request and decodes the answer.
+func request(t *testing.T, o http.Handler, method, path, body string, v any) int {
+	t.Helper()
+	r := httptest.NewRequestWithContext(t.Context(), method, path, strings.NewReader(body))
 	r.Header.Set(OperatorKeyHeader, operatorKey)
 	w := httptest.NewRecorder()
 	o.ServeHTTP(w, r)
