--- a/internal/commander/status.go
+++ b/internal/commander/status.go
@@ -81,8 +81,11 @@
 	for _, wave := range s.Waves {
 		fmt.Fprintf(w, "%s\t%s\t%s\n", wave.Name, wave.Pool, progress(wave))
 	}
+	if len(s.Problems) > 0 {
+		fmt.Fprintln(w)
+	}
 	for _, problem := range s.Problems {
-		fmt.Fprintf(w, "\nproblem: %s\n", problem)
+		fmt.Fprintf(w, "problem: %s\n", problem)
 	}
 	return w.Flush()
 }
--- a/internal/messenger/certificate.go
+++ b/internal/messenger/certificate.go
@@ -176,10 +176,11 @@
 	if err != nil {
 		return time.Time{}, Error.Wrap(err)
 	}
-	return template.NotAfter, errors.Join(
-		writePEM(certificateFile, "CERTIFICATE", der),
-		writePEM(keyFile, "PRIVATE KEY", keyDER),
-	)
+	// The key first, so that a failure leaves no certificate without its key.
+	if err := writePEM(keyFile, "PRIVATE KEY", keyDER); err != nil {
+		return time.Time{}, err
+	}
+	return template.NotAfter, writePEM(certificateFile, "CERTIFICATE", der)
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -36,8 +36,12 @@
 	r.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	page := w.Body.String()
 	for _, m := range Table() {
-		if !strings.Contains(page, "\n"+m.Name) {
-			t.Errorf("the page lacks %s", m.Name)
+		name := m.Exposed()
+		if m.Kind == KindHistogram {
+			name += "_bucket"
+		}
+		if !strings.Contains(page, "\n"+name+"{") && !strings.Contains(page, "\n"+name+" ") {
+			t.Errorf("the page lacks %s", name)
 		}
 	}
 	if !strings.Contains(page, `team="orders"`) {
--- a/internal/recorder/table.go
+++ b/internal/recorder/table.go
@@ -25,6 +25,19 @@
 	Help   string
 }
 
+// Exposed returns the name on the metrics page. The exporter appends the unit of
+// histograms, whose series also end in _bucket, _sum and _count, and _total to counters.
+func (m Metric) Exposed() string {
+	switch m.Kind {
+	case KindHistogram:
+		return m.Name + "_seconds"
+	case KindCounter:
+		return m.Name + "_total"
+	default:
+		return m.Name
+	}
+}
+
 // Names of the metrics.
 const (
 	RequestDuration  = "comfreyford_request_duration"
@@ -116,8 +129,8 @@
 			Name:   QueuedRequests,
 			Kind:   KindGauge,
 			Unit:   "1",
-			Labels: "team, class",
-			Help:   "requests that wait for a slot",
+			Labels: "team",
+			Help:   "slots that queued requests of a team ask for",
 		},
 		{
 			Name: ConfigRevision,
@@ -172,7 +185,7 @@
 	var b strings.Builder
 	b.WriteString("| Metric | Kind | Unit | Labels | Meaning |\n|---|---|---|---|---|\n")
 	for _, m := range Table() {
-		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", m.Name, m.Kind, m.Unit, cmp.Or(m.Labels, "none"), m.Help)
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", m.Exposed(), m.Kind, m.Unit, cmp.Or(m.Labels, "none"), m.Help)
 	}
 	return b.String()
 }
--- a/internal/server/fleet.go
+++ b/internal/server/fleet.go
@@ -108,7 +108,7 @@
 	defer cancel()
 	f, err := o.readFleet(ctx)
 	if err != nil {
-		o.failFleet(w, err)
+		o.failFleet(w, err, "unavailable")
 		return
 	}
 	doc := FleetDocument{
@@ -181,14 +181,14 @@
 	pools := o.regionPools()
 	operation, err := change.operation()
 	if err != nil {
-		o.failFleet(w, err)
+		o.failFleet(w, err, "not_stored")
 		return
 	}
 	f, err := planner.Update(ctx, o.cfg.Committer.Store, o.cfg.Region, operation, func(f planner.Fleet) (planner.Fleet, error) {
 		return change.apply(f, time.Now(), pools)
 	})
 	if err != nil {
-		o.failFleet(w, err)
+		o.failFleet(w, err, "not_stored")
 		return
 	}
 	o.cfg.Log.Info("fleet changed", "operation", change.OperationID, "added", len(change.Add), "moved", len(change.Move), "removed", len(change.Remove))
@@ -280,8 +280,9 @@
 	return f, nil
 }
 
-// failFleet answers with the status and the reason of an error of the fleet.
-func (o *Operator) failFleet(w http.ResponseWriter, err error) {
+// failFleet answers with the status and the reason of an error of the fleet. down is the
+// reason when the key-value service does not take calls.
+func (o *Operator) failFleet(w http.ResponseWriter, err error, down string) {
 	status, reason := http.StatusInternalServerError, "internal"
 	for _, known := range []struct {
 		err    error
@@ -290,8 +291,8 @@
 	}{
 		// First, because an unknown outcome wraps the error of the last call.
 		{err: storer.ErrOutcomeUnknown, status: http.StatusGatewayTimeout, reason: "outcome_unknown"},
-		{err: storer.ErrUnavailable, status: http.StatusServiceUnavailable, reason: "not_stored"},
-		{err: planner.ErrContended, status: http.StatusServiceUnavailable, reason: "not_stored"},
+		{err: storer.ErrUnavailable, status: http.StatusServiceUnavailable, reason: down},
+		{err: planner.ErrContended, status: http.StatusServiceUnavailable, reason: down},
 		{err: storer.ErrTooLarge, status: http.StatusUnprocessableEntity, reason: "fleet_too_large"},
 		{err: errOperationReused, status: http.StatusConflict, reason: "operation_reused"},
 		{err: planner.ErrUnknownVM, status: http.StatusNotFound, reason: "unknown_vm"},
--- a/internal/server/fleet_test.go
+++ b/internal/server/fleet_test.go
@@ -230,4 +230,8 @@
 	if len(s.Problems) != 2 || s.Teams[0].Allowances != nil || s.Pools[0].VMs != nil || s.Teams[0].Running != 5 || s.AgeMS < 1 {
 		t.Errorf("during an outage: %+v", s)
 	}
+	var refused ErrorAnswer
+	if status := request(t, o, http.MethodGet, "/v1/fleet", "", &refused); status != http.StatusServiceUnavailable || refused.Reason != "unavailable" {
+		t.Errorf("fleet during an outage: status %d, %+v", status, refused)
+	}
 }
