messenger: return an answer that came before the end of the request

Cause: Call failed with "close called for canceled stream" when the server had answered and stopped reading before the client ended its sending direction. The caller took a request that was answered for a failed one.

Also ruled out: ignoring only this error by its text.

Change: Call waits for the answer whatever the end of the sending direction reports; a stream that has ended fails in Receive.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -230,10 +230,7 @@
 		return answer, err
 	}
 	defer s.Close()
-	if err := s.stream.Close(); err != nil {
-		return answer, Error.Wrap(err)
-	}
-	if err := s.Receive(&answer); err != nil {
+	if err := s.exchange(&answer); err != nil {
 		s.Abort()
 		return answer, err
 	}
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -56,6 +56,14 @@
 	return nil
 }
 
+// exchange ends the request and waits for the answer.
+func (s *Stream) exchange(answer any) error {
+	// A server that has answered stops reading, and Close then reports a canceled stream
+	// although the answer is there. A stream that really ended fails in Receive.
+	_ = s.stream.Close()
+	return s.Receive(answer)
+}
+
 // SendBody sends a whole body after the message.
 func (s *Stream) SendBody(r io.Reader) error {
 	w := newBodyWriter(s.stream)
