--- a/internal/recorder/table.go
+++ b/internal/recorder/table.go
@@ -1,5 +1,11 @@
 package recorder
 
+import (
+	"cmp"
+	"fmt"
+	"strings"
+)
+
 // Kind is the kind of an instrument.
 type Kind string
 
@@ -19,6 +25,19 @@
 	Help   string
 }
 
+// Exposed returns the name on the metrics page. The exporter appends the unit of
+// histograms, whose series also end in _bucket, _sum and _count, and _total to counters.
+func (m Metric) Exposed() string {
+	switch m.Kind {
+	case KindHistogram:
+		return m.Name + "_seconds"
+	case KindCounter:
+		return m.Name + "_total"
+	default:
+		return m.Name
+	}
+}
+
 // Names of the metrics.
 const (
 	RequestDuration  = "comfreyford_request_duration"
@@ -110,8 +129,8 @@
 			Name:   QueuedRequests,
 			Kind:   KindGauge,
 			Unit:   "1",
-			Labels: "team, class",
-			Help:   "requests that wait for a slot",
+			Labels: "team",
+			Help:   "slots that queued requests of a team ask for",
 		},
 		{
 			Name: ConfigRevision,
@@ -160,3 +179,13 @@
 		},
 	}
 }
+
+// Reference returns the table of metrics in markdown.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("| Metric | Kind | Unit | Labels | Meaning |\n|---|---|---|---|---|\n")
+	for _, m := range Table() {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", m.Exposed(), m.Kind, m.Unit, cmp.Or(m.Labels, "none"), m.Help)
+	}
+	return b.String()
+}
