--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -66,17 +66,23 @@
 		return fmt.Errorf("unknown command %q; `comfreyford help` lists the commands", cmd.Args().First())
 	}
 	return cli.ShowRootCommandHelp(cmd)
+}
+
 // reportUsage makes wrong flags and unknown subcommands errors of one line, which name
 // the command. The library would print the whole help.
 func reportUsage(cmd *cli.Command, name string) {
 	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 		return fmt.Errorf("%s: %w", name, err)
+	}
 	if len(cmd.Commands) == 0 {
 		return
+	}
 	var names []string
 	for _, sub := range cmd.Commands {
 		names = append(names, sub.Name)
 		reportUsage(sub, name+" "+sub.Name)
+	}
 	cmd.Action = func(_ context.Context, cmd *cli.Command) error {
 		return fmt.Errorf("%s: got subcommand %q; want one of %s", name, cmd.Args().First(), strings.Join(names, ", "))
+	}
 }
--- a/internal/demonstrator/installation.go
+++ b/internal/demonstrator/installation.go
@@ -252,7 +252,7 @@
 	for _, e := range in.Entries {
 		certificate := filepath.Join(in.cfg.Dir, e.Name+".pem")
 		key := filepath.Join(in.cfg.Dir, e.Name+".key")
-		if err := authority.Issue(e.Name, certificate, key, now); err != nil {
+		if _, err := authority.Issue(e.Name, certificate, key, now); err != nil {
 			return err
 		}
 		text := fmt.Sprintf(`name = %q
