Split renewal from opening in the worker protocol

Cause: OpenSession both opened and renewed a session. A worker that restarts forgets revocations, so a holder that was paused for less than the TTL could renew, and thereby reopen, a session that its successor had revoked in the worker's earlier life. A delayed start then ran after "not run" was proved.

Ruled out: a check of the boot id after the renewal, which existed. The session is open by then, and the delayed start needs no further renewal. Making the worker remember revocations was ruled out as well, because it keeps no state over a restart.

Change: RenewSession never opens a session and names its boot id; a start carries the boot id of its session, and the worker refuses another one with ErrSessionEnded. Opening an open session again no longer extends it.

Conclusion: after "not run" was proved, no start of an earlier life of the worker runs.

--- a/internal/dispatcher/journaled.go
+++ b/internal/dispatcher/journaled.go
@@ -239,7 +239,7 @@
 func (d *Dispatcher) startOnce(ctx context.Context, p *plan, sub journaler.Submission, g *grant, id string, session *runner.Session, release func(bool)) (Result, bool) {
 	// The request goes on when its caller is gone: the caller may repeat it.
 	life, cancel := context.WithDeadline(context.WithoutCancel(ctx), p.Deadline)
-	answer, err := g.target.client.Start(life, d.task(p, id, session.ID), bytes.NewReader(sub.Body))
+	answer, err := g.target.client.Start(life, d.task(p, id, session), bytes.NewReader(sub.Body))
 	d.cfg.Recorder.Attempt(p.pool.name, attemptResult(err))
 	if err == nil {
 		p.pool.record(g.target, answer.Status < http.StatusInternalServerError)
--- a/internal/dispatcher/online.go
+++ b/internal/dispatcher/online.go
@@ -138,7 +138,7 @@
 		g.release(true)
 		return nil, err
 	}
-	task := a.d.task(a.p, uuid.NewString(), session.ID)
+	task := a.d.task(a.p, uuid.NewString(), session)
 	answer, err := g.target.client.Start(ctx, task, a.body.open())
 	if err == nil {
 		body := &answerBody{ReadCloser: answer.Body}
@@ -177,10 +177,11 @@
 	})
 }
 
-func (d *Dispatcher) task(p *plan, id, session string) runner.Task {
+func (d *Dispatcher) task(p *plan, id string, session *runner.Session) runner.Task {
 	return runner.Task{
 		ID:         id,
-		Session:    session,
+		Session:    session.ID,
+		Boot:       session.Boot,
 		Identity:   p.Identity,
 		Team:       p.Team,
 		Pool:       p.pool.name,
--- a/internal/emulator/platform_test.go
+++ b/internal/emulator/platform_test.go
@@ -153,13 +153,15 @@
 func TestRunLogShowsSegments(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, worker := newPlatformWithWorker(t)
-		if _, err := worker.OpenSession(t.Context(), "s", time.Minute); err != nil {
+		boot, err := worker.OpenSession(t.Context(), "s", time.Minute)
+		if err != nil {
 			t.Fatal(err)
 		}
 		start := time.Now()
 		go worker.Start(t.Context(), runner.Task{ //nolint:errcheck // the log is what matters
 			ID:       "t",
 			Session:  "s",
+			Boot:     boot,
 			Identity: "i",
 			Team:     "team",
 			Path:     "/x?duration_ms=2000",
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -191,15 +191,34 @@
 	now := time.Now()
 	s := w.sessions[id]
 	if s == nil {
-		s = &session{}
+		s = &session{expires: now.Add(ttl)}
 		s.timer = time.AfterFunc(ttl, func() { w.expire(id, s) })
 		w.sessions[id] = s
 	} else if !s.open(now) {
 		return "", runner.Error.Wrap(runner.NotRun(runner.ErrSessionEnded))
 	}
+	return w.boot, nil
+}
+
+// RenewSession implements runner.Target.
+func (w *Worker) RenewSession(ctx context.Context, id, boot string, ttl time.Duration) error {
+	if err := ctx.Err(); err != nil {
+		return runner.Error.Wrap(err)
+	}
+	if id == "" || ttl <= 0 || ttl > maxDelay {
+		return runner.Error.New("%w: a session needs an id and a time to live up to %v", runner.ErrInvalid, maxDelay)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forget()
+	now := time.Now()
+	s := w.sessions[id]
+	if boot != w.boot || !s.open(now) {
+		return runner.Error.Wrap(runner.NotRun(runner.ErrSessionEnded))
+	}
 	s.expires = now.Add(ttl)
 	s.timer.Reset(ttl)
-	return w.boot, nil
+	return nil
 }
 
 // RevokeSession implements runner.Target.
@@ -306,7 +325,7 @@
 	}
 	refused := func(err error) (*task, bool, error) { return nil, false, runner.Error.Wrap(runner.NotRun(err)) }
 	switch {
-	case !w.sessions[spec.Session].open(time.Now()):
+	case spec.Boot != w.boot, !w.sessions[spec.Session].open(time.Now()):
 		return refused(runner.ErrSessionEnded)
 	case w.draining:
 		return refused(runner.ErrDraining)
--- a/internal/emulator/worker_server.go
+++ b/internal/emulator/worker_server.go
@@ -113,6 +113,15 @@
 		boot, err := s.worker.OpenSession(r.Context(), r.PathValue("id"), ttl)
 		writeWorkerResult(w, map[string]string{"boot": boot}, err)
 	})
+	mux.HandleFunc("POST /v1/sessions/{id}/renew", func(w http.ResponseWriter, r *http.Request) {
+		ttl, err := parseMilliseconds(r.URL.Query().Get("ttl_ms"), maxDelay)
+		if err != nil {
+			writeRefusal(w, fmt.Errorf("%w: ttl_ms: %w", runner.ErrInvalid, err))
+			return
+		}
+		err = s.worker.RenewSession(r.Context(), r.PathValue("id"), r.URL.Query().Get("boot"), ttl)
+		writeWorkerResult(w, struct{}{}, err)
+	})
 	mux.HandleFunc("DELETE /v1/sessions/{id}", func(w http.ResponseWriter, r *http.Request) {
 		revocation, err := s.worker.RevokeSession(r.Context(), r.PathValue("id"))
 		writeWorkerResult(w, revocation, err)
--- a/pkg/journaler/harness_test.go
+++ b/pkg/journaler/harness_test.go
@@ -101,6 +101,13 @@
 	return w
 }
 
+// toggle cuts the owner off from the store, or connects it again.
+func (o *owner) toggle() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.down = !o.down
+}
+
 func (o *owner) step(key string) error {
 	o.mu.Lock()
 	if key == o.crashOn || strings.Count(key, "/") > 1 {
@@ -205,19 +212,41 @@
 	w.sessions, w.revoked, w.tasks = map[string]time.Time{}, map[string]bool{}, map[string]*task{}
 }
 
+func (w *worker) setAway(away bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.away = away
+}
+
 func (w *worker) open(id string, ttl time.Duration) (string, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.away {
 		return "", errAway
 	}
-	if end, ok := w.sessions[id]; w.revoked[id] || (ok && time.Now().After(end)) {
+	end, ok := w.sessions[id]
+	if w.revoked[id] || (ok && time.Now().After(end)) {
 		return "", runner.ErrSessionEnded
 	}
-	w.sessions[id] = time.Now().Add(ttl)
+	if !ok {
+		w.sessions[id] = time.Now().Add(ttl)
+	}
 	return fmt.Sprint(w.boot), nil
 }
 
+func (w *worker) renew(id, boot string, ttl time.Duration) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.away {
+		return errAway
+	}
+	if end, ok := w.sessions[id]; !ok || boot != fmt.Sprint(w.boot) || w.revoked[id] || time.Now().After(end) {
+		return runner.ErrSessionEnded
+	}
+	w.sessions[id] = time.Now().Add(ttl)
+	return nil
+}
+
 func (w *worker) start(t runner.Task, body []byte) (*task, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -227,7 +256,7 @@
 	if tk := w.tasks[t.ID]; tk != nil {
 		return tk, nil
 	}
-	if end, ok := w.sessions[t.Session]; !ok || w.revoked[t.Session] || time.Now().After(end) {
+	if end, ok := w.sessions[t.Session]; !ok || t.Boot != fmt.Sprint(w.boot) || w.revoked[t.Session] || time.Now().After(end) {
 		return nil, fmt.Errorf("%w: %w", runner.ErrNotRun, runner.ErrSessionEnded)
 	}
 	tk := &task{session: t.Session, state: runner.StateRunning, done: make(chan struct{}), data: append(resultOf(t.Identity, body), make([]byte, w.large)...)}
@@ -279,6 +308,17 @@
 	return &runner.Answer{Status: w.status, ContentType: "text/plain", Body: io.NopCloser(body)}, nil
 }
 
+// delayed holds starts until its channel is closed, apart from all other calls.
+type delayed struct {
+	runner.Target
+	until chan struct{}
+}
+
+func (d *delayed) Start(ctx context.Context, t runner.Task, body io.Reader) (*runner.Answer, error) {
+	<-d.until
+	return d.Target.Start(ctx, t, body)
+}
+
 // gated is the worker as one owner reaches it. Methods that the journal does not call are left out.
 type gated struct {
 	runner.Target
@@ -291,6 +331,11 @@
 	return g.worker.open(id, ttl)
 }
 
+func (g *gated) RenewSession(_ context.Context, id, boot string, ttl time.Duration) error {
+	defer g.gate.cross()()
+	return g.worker.renew(id, boot, ttl)
+}
+
 func (g *gated) RevokeSession(_ context.Context, id string) (runner.Revocation, error) {
 	defer g.gate.cross()()
 	g.worker.mu.Lock()
--- a/pkg/journaler/journal_test.go
+++ b/pkg/journaler/journal_test.go
@@ -52,7 +52,7 @@
 	if o.j.Start(ctx, id, Attempt{Task: task, Target: "w", Boot: boot, Session: task}) != nil {
 		return
 	}
-	answer, err := target.Start(ctx, runner.Task{ID: task, Session: task, Identity: id.String()}, bytes.NewReader(body))
+	answer, err := target.Start(ctx, runner.Task{ID: task, Session: task, Boot: boot, Identity: id.String()}, bytes.NewReader(body))
 	switch {
 	case errors.Is(err, runner.ErrNotRun):
 		_ = o.j.NotRun(ctx, id, task)
@@ -79,9 +79,7 @@
 // settle ends all faults, gives the shards to the last owner and checks every guarantee.
 func (w *world) settle(t testing.TB, ids []uuid.UUID) {
 	time.Sleep(10 * time.Second)
-	w.worker.mu.Lock()
-	w.worker.away = false
-	w.worker.mu.Unlock()
+	w.worker.setAway(false)
 	last := w.owners[len(w.owners)-1]
 	for _, o := range w.owners {
 		o.mu.Lock()
@@ -165,9 +163,7 @@
 	case 4, 5:
 		o.set(a.Kind == 4)
 	case 6:
-		o.mu.Lock()
-		o.down = !o.down
-		o.mu.Unlock()
+		o.toggle()
 	case 7:
 		o.mu.Lock()
 		o.lost += a.N
@@ -289,6 +285,20 @@
 			w.worker.away = true
 			r.DeadlineMS = time.Now().Add(20 * time.Second).UnixMilli()
 		}, want: VerdictDeadlineExceeded},
+		{
+			// The sessions that are opened before the store is back lapse without a start.
+			name: "store down for longer than a session lives",
+			change: func(w *world, _ *Request) {
+				w.worker.away = true
+				time.AfterFunc(500*time.Millisecond, func() {
+					w.owners[0].toggle()
+					w.worker.setAway(false)
+					time.Sleep(20 * time.Second)
+					w.owners[0].toggle()
+				})
+			},
+			runs: 1,
+		},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/pkg/journaler/limits_test.go
+++ b/pkg/journaler/limits_test.go
@@ -90,6 +90,31 @@
 	}
 }
 
+// Guards against a late start that runs after a successor has proved "not run":
+// the worker restarts, forgets the revocation and hears of the session again.
+func TestLateStartAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, ids := newWorld(t, 2), newIDs(1)
+		late := &delayed{
+			Target: w.owners[0].j.cfg.Dispatcher.(placer).target,
+			until:  make(chan struct{}),
+		}
+		w.owners[0].j.cfg.Dispatcher = placer{target: late}
+		w.members("a")
+		time.Sleep(time.Second)
+		w.submit(w.owners[0], ids[0], request(1))
+		time.Sleep(time.Second)
+		w.owners[0].set(true)
+		w.owners[1].j.SetMembers(t.Context(), []string{"b"})
+		time.Sleep(6 * time.Second) // the successor has run the job
+		w.worker.restart()
+		w.owners[0].set(false) // the waiting renewal arrives, and then the start
+		time.Sleep(100 * time.Millisecond)
+		close(late.until)
+		w.settle(t, ids)
+	})
+}
+
 // slowTarget counts the revocations that run at the same time.
 type slowTarget struct {
 	runner.Target
--- a/pkg/journaler/recovery.go
+++ b/pkg/journaler/recovery.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/runner"
@@ -148,7 +147,7 @@
 // at the worker first: a record that still names the revoked session is
 // recovered in the same way by the next owner.
 func (t *tenure) follow(ctx context.Context, target runner.Target, r Record) error {
-	session := fmt.Sprintf("%s.%s.%d", r.ID, t.shard.term[:8], t.shard.blobs.Add(1))
+	session := t.newSession(r.ID)
 	boot, err := t.adopt(ctx, target, r.Task, session)
 	if err != nil {
 		return err
--- a/pkg/journaler/run.go
+++ b/pkg/journaler/run.go
@@ -88,13 +88,21 @@
 	})
 }
 
+// newSession returns a session id that is used once. The session of an attempt
+// that was not committed has lapsed by the time of the next one and cannot be
+// opened again.
+func (t *tenure) newSession(id uuid.UUID) string {
+	return fmt.Sprintf("%s.%s.%d", id, t.shard.term[:8], t.shard.names.Add(1))
+}
+
 // begin opens a session and commits the attempt. The session belongs to this
 // attempt alone, so that revoking it disturbs no other task.
 func (t *tenure) begin(ctx context.Context, r Record, p Placement) (Attempt, error) {
 	task := fmt.Sprintf("%s.%d", r.ID, r.Starts+1)
+	session := t.newSession(r.ID)
 	call, cancel := context.WithTimeout(ctx, t.j.cfg.CallTimeout)
 	defer cancel()
-	boot, err := p.Target.OpenSession(call, task, t.j.cfg.SessionTTL)
+	boot, err := p.Target.OpenSession(call, session, t.j.cfg.SessionTTL)
 	if err != nil {
 		return Attempt{}, err
 	}
@@ -102,7 +110,7 @@
 		Task:    task,
 		Target:  p.Name,
 		Boot:    boot,
-		Session: task,
+		Session: session,
 	}
 	err = t.shard.Change(ctx, func(d *Document, now time.Time) error {
 		if d.Records[r.ID].Starts != r.Starts {
@@ -128,6 +136,7 @@
 	answer, err := p.Target.Start(bounded, runner.Task{
 		ID:         a.Task,
 		Session:    a.Session,
+		Boot:       a.Boot,
 		Identity:   r.ID.String(),
 		Team:       r.Team,
 		Pool:       p.Pool,
@@ -247,9 +256,8 @@
 	return func(d *Document, now time.Time) error { return d.Retry(r.ID, r.Task, t.j.cfg.MaxAttempts, now) }
 }
 
-// renew keeps a session open. It stops when the worker has restarted or when
-// the session must have lapsed: opening it again could let a start through
-// that a successor has already found not to have run.
+// renew keeps a session open. It stops when the worker no longer knows the
+// session or when the session must have lapsed.
 func (t *tenure) renew(ctx context.Context, target runner.Target, session, boot string) {
 	last := t.j.cfg.Now()
 	for sleep(ctx, t.j.cfg.RenewInterval) == nil {
@@ -258,9 +266,9 @@
 			return
 		}
 		call, cancel := context.WithTimeout(ctx, t.j.cfg.CallTimeout)
-		got, err := target.OpenSession(call, session, t.j.cfg.SessionTTL)
+		err := target.RenewSession(call, session, boot, t.j.cfg.SessionTTL)
 		cancel()
-		if errors.Is(err, runner.ErrSessionEnded) || (err == nil && got != boot) {
+		if errors.Is(err, runner.ErrSessionEnded) {
 			return
 		}
 		if err == nil {
--- a/pkg/journaler/shard.go
+++ b/pkg/journaler/shard.go
@@ -53,7 +53,7 @@
 	cfg   ShardConfig
 	codec *codec
 	term  string
-	blobs atomic.Uint64
+	names atomic.Uint64 // counts the keys and sessions of the term
 
 	ctx    context.Context // ends when the shard is no longer owned here
 	cancel context.CancelFunc
--- a/pkg/runner/client.go
+++ b/pkg/runner/client.go
@@ -124,6 +124,15 @@
 	return answer.Boot, err
 }
 
+// RenewSession implements Target.
+func (c *Client) RenewSession(ctx context.Context, id, boot string, ttl time.Duration) error {
+	query := url.Values{}
+	query.Set("boot", boot)
+	query.Set("ttl_ms", strconv.FormatInt(ttl.Milliseconds(), 10))
+	path := "/v1/sessions/" + url.PathEscape(id) + "/renew?" + query.Encode()
+	return c.call(ctx, http.MethodPost, path, &struct{}{})
+}
+
 // RevokeSession implements Target.
 func (c *Client) RevokeSession(ctx context.Context, id string) (Revocation, error) {
 	var revocation Revocation
--- a/pkg/runner/client_test.go
+++ b/pkg/runner/client_test.go
@@ -90,7 +90,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				client := serveHandler(t, tt.handler)
-				answer, err := client.Start(t.Context(), newTask("t1", "/x"), strings.NewReader("body"))
+				answer, err := client.Start(t.Context(), runner.Task{ID: "t1"}, strings.NewReader("body"))
 				if tt.start != nil {
 					want(t, err, tt.start)
 					if tt.start != runner.ErrNotRun && errors.Is(err, runner.ErrNotRun) { //nolint:errorlint // a table entry
@@ -115,7 +115,7 @@
 			Dial:    func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") },
 		})
 		defer client.Close()
-		_, err := client.Start(t.Context(), newTask("t1", "/x"), strings.NewReader("body"))
+		_, err := client.Start(t.Context(), runner.Task{ID: "t1"}, strings.NewReader("body"))
 		want(t, err, runner.ErrNotRun)
 		_, err = client.Status(t.Context(), "t1")
 		want(t, err, runner.ErrOutcomeUnknown)
@@ -130,7 +130,7 @@
 		client, server := serve(t, worker)
 		f := fixture{client, worker}
 		f.open(t, "s1")
-		result := f.start(t, newTask("t1", "/x?duration_ms=8000"))
+		result := f.start(t, f.newTask("t1", "/x?duration_ms=8000"))
 		time.Sleep(time.Second)
 		server.Silence(false)
 		start := time.Now()
@@ -177,7 +177,7 @@
 		client, _ := serve(t, worker)
 		_, err := client.OpenSession(t.Context(), "s1", time.Minute)
 		must(t, err)
-		must(t, <-fixture{client, worker}.start(t, newTask("t1", "/x?duration_ms=50000")))
+		must(t, <-fixture{client, worker}.start(t, fixture{client, worker}.newTask("t1", "/x?duration_ms=50000")))
 	})
 }
 
@@ -203,7 +203,7 @@
 		f.open(t, "s1")
 		var results []<-chan error
 		for i := range emulator.DefaultSlots {
-			results = append(results, f.start(t, newTask(fmt.Sprint("t", i), "/x?duration_ms=1000")))
+			results = append(results, f.start(t, f.newTask(fmt.Sprint("t", i), "/x?duration_ms=1000")))
 		}
 		for _, result := range results {
 			must(t, <-result)
--- a/pkg/runner/contract_test.go
+++ b/pkg/runner/contract_test.go
@@ -78,10 +78,22 @@
 	return boot
 }
 
-func newTask(id, path string) runner.Task {
+// renew renews a session that was opened in the present life of the worker.
+func (f fixture) renew(t *testing.T, session string) {
+	t.Helper()
+	must(t, f.target.RenewSession(t.Context(), session, f.boot(), 10*time.Second))
+}
+
+// boot returns the boot id of the present life of the worker.
+func (f fixture) boot() string {
+	return f.worker.Runs().Boot
+}
+
+func (f fixture) newTask(id, path string) runner.Task {
 	return runner.Task{
 		ID:       id,
 		Session:  "s1",
+		Boot:     f.boot(),
 		Identity: "identity of " + id,
 		Team:     "équipe\u007f",
 		Method:   http.MethodPost,
@@ -154,7 +166,7 @@
 	{"an answer belongs to its request and has the asked status and length", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
 		body := strings.Repeat("chalk", 100_000)
-		answer, err := f.target.Start(t.Context(), newTask("t1", "/x?status=503&bytes=3000000"), strings.NewReader(body))
+		answer, err := f.target.Start(t.Context(), f.newTask("t1", "/x?status=503&bytes=3000000"), strings.NewReader(body))
 		must(t, err)
 		if answer.Status != 503 {
 			t.Fatalf("status is %d", answer.Status)
@@ -171,20 +183,20 @@
 	}},
 	{"a task that is started twice runs once", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
-		first := f.start(t, newTask("t1", "/x?duration_ms=1000"))
-		second := f.start(t, newTask("t1", "/x?duration_ms=1000"))
+		first := f.start(t, f.newTask("t1", "/x?duration_ms=1000"))
+		second := f.start(t, f.newTask("t1", "/x?duration_ms=1000"))
 		must(t, <-first)
 		must(t, <-second)
-		must(t, <-f.start(t, newTask("t1", "/x?duration_ms=1000")))
+		must(t, <-f.start(t, f.newTask("t1", "/x?duration_ms=1000")))
 		if runs := f.worker.Runs().Runs; len(runs) != 1 {
 			t.Fatalf("runs: %+v", runs)
 		}
 	}},
 	{"a start without an open session is not run", func(t *testing.T, f fixture) {
-		want(t, <-f.start(t, newTask("t1", "/x")), runner.ErrNotRun, runner.ErrSessionEnded)
+		want(t, <-f.start(t, f.newTask("t1", "/x")), runner.ErrNotRun, runner.ErrSessionEnded)
 		f.open(t, "s1")
 		time.Sleep(10 * time.Second)
-		want(t, <-f.start(t, newTask("t1", "/x")), runner.ErrNotRun, runner.ErrSessionEnded)
+		want(t, <-f.start(t, f.newTask("t1", "/x")), runner.ErrNotRun, runner.ErrSessionEnded)
 		_, err := f.target.OpenSession(t.Context(), "s1", time.Second)
 		want(t, err, runner.ErrSessionEnded)
 		_, err = f.target.Status(t.Context(), "t1")
@@ -201,9 +213,10 @@
 	}},
 	{"tasks of an expired session are stopped and those of a renewed one are not", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
-		result := f.start(t, newTask("t1", "/x?duration_ms=60000"))
+		result := f.start(t, f.newTask("t1", "/x?duration_ms=60000"))
 		time.Sleep(9 * time.Second)
-		f.open(t, "s1")
+		f.open(t, "s1") // does not extend the session
+		f.renew(t, "s1")
 		time.Sleep(9 * time.Second)
 		if state := f.state(t, "t1"); state != runner.StateRunning {
 			t.Fatalf("state is %s", state)
@@ -215,43 +228,43 @@
 	}},
 	{"after a revocation the tasks go on until the end of the session and only adopted ones longer", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
-		adopted := f.start(t, newTask("t1", "/x?duration_ms=20000"))
-		left := f.start(t, newTask("t2", "/x?duration_ms=20000"))
+		adopted := f.start(t, f.newTask("t1", "/x?duration_ms=20000"))
+		left := f.start(t, f.newTask("t2", "/x?duration_ms=20000"))
 		revocation, err := f.target.RevokeSession(t.Context(), "s1")
 		must(t, err)
 		if len(revocation.Tasks) != 2 {
 			t.Fatalf("revocation is %+v", revocation)
 		}
-		want(t, <-f.start(t, newTask("t3", "/x")), runner.ErrNotRun, runner.ErrSessionEnded)
+		want(t, <-f.start(t, f.newTask("t3", "/x")), runner.ErrNotRun, runner.ErrSessionEnded)
 		want(t, f.target.Adopt(t.Context(), "t1", "s2"), runner.ErrSessionEnded)
 		f.open(t, "s2")
 		must(t, f.target.Adopt(t.Context(), "t1", "s2"))
 		time.Sleep(9 * time.Second)
-		f.open(t, "s2")
+		f.renew(t, "s2")
 		if state := f.state(t, "t2"); state != runner.StateRunning {
 			t.Fatalf("state is %s", state)
 		}
 		want(t, <-left, runner.ErrTaskStopped)
 		time.Sleep(8 * time.Second)
-		f.open(t, "s2")
+		f.renew(t, "s2")
 		must(t, <-adopted)
 	}},
 	{"no more tasks than slots run", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
 		for i := range emulator.DefaultSlots {
-			f.start(t, newTask(fmt.Sprint("t", i), "/x?duration_ms=5000"))
+			f.start(t, f.newTask(fmt.Sprint("t", i), "/x?duration_ms=5000"))
 		}
-		want(t, <-f.start(t, newTask("late", "/x")), runner.ErrNotRun, runner.ErrBusy)
+		want(t, <-f.start(t, f.newTask("late", "/x")), runner.ErrNotRun, runner.ErrBusy)
 		time.Sleep(5 * time.Second)
 		synctest.Wait() // until the timers of this instant have ended the tasks
-		must(t, <-f.start(t, newTask("late", "/x")))
+		must(t, <-f.start(t, f.newTask("late", "/x")))
 	}},
 	{"memory and accelerators bound the tasks", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
-		big := newTask("t1", "/x?duration_ms=5000")
+		big := f.newTask("t1", "/x?duration_ms=5000")
 		big.Resources.MemoryMB = emulator.DefaultMemoryMB
 		f.start(t, big)
-		more := newTask("t2", "/x")
+		more := f.newTask("t2", "/x")
 		more.Resources.MemoryMB = 1
 		want(t, <-f.start(t, more), runner.ErrNotRun, runner.ErrBusy)
 		more.Resources = runner.Resources{Accelerators: 1}
@@ -261,12 +274,12 @@
 	}},
 	{"a checkpointed task frees its slot and goes on where it was", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
-		task := newTask("t1", "/x?duration_ms=4000")
+		task := f.newTask("t1", "/x?duration_ms=4000")
 		task.Resources.Slots = emulator.DefaultSlots
 		result := f.start(t, task)
 		time.Sleep(3 * time.Second)
 		must(t, f.target.Checkpoint(t.Context(), "t1"))
-		other := newTask("t2", "/x?duration_ms=1000")
+		other := f.newTask("t2", "/x?duration_ms=1000")
 		waiting := f.start(t, other)
 		want(t, f.target.Resume(t.Context(), "t1"), runner.ErrBusy)
 		must(t, <-waiting)
@@ -281,7 +294,7 @@
 	{"a throttled task takes longer", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
 		start := time.Now()
-		result := f.start(t, newTask("t1", "/x?duration_ms=3000"))
+		result := f.start(t, f.newTask("t1", "/x?duration_ms=3000"))
 		time.Sleep(time.Second)
 		must(t, f.target.Throttle(t.Context(), "t1", 50))
 		must(t, <-result)
@@ -292,12 +305,12 @@
 	}},
 	{"a stopped task has no answer and an ended one keeps it", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
-		result := f.start(t, newTask("t1", "/x?duration_ms=5000"))
+		result := f.start(t, f.newTask("t1", "/x?duration_ms=5000"))
 		must(t, f.target.Stop(t.Context(), "t1"))
 		want(t, <-result, runner.ErrTaskStopped)
 		_, err := f.target.Answer(t.Context(), "t1")
 		want(t, err, runner.ErrTaskStopped)
-		must(t, <-f.start(t, newTask("t2", "/x")))
+		must(t, <-f.start(t, f.newTask("t2", "/x")))
 		must(t, f.target.Stop(t.Context(), "t2"))
 		answer, err := f.target.Answer(t.Context(), "t2")
 		must(t, err)
@@ -305,7 +318,7 @@
 	}},
 	{"a task is stopped at its timeout", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
-		task := newTask("t1", "/x?duration_ms=5000")
+		task := f.newTask("t1", "/x?duration_ms=5000")
 		task.Timeout = time.Second
 		want(t, <-f.start(t, task), runner.ErrTaskStopped)
 	}},
@@ -313,7 +326,7 @@
 		f.open(t, "s1")
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		_, err := f.target.Start(ctx, newTask("t1", "/x?duration_ms=5000"), strings.NewReader("body"))
+		_, err := f.target.Start(ctx, f.newTask("t1", "/x?duration_ms=5000"), strings.NewReader("body"))
 		want(t, err, runner.ErrOutcomeUnknown)
 		answer, err := f.target.Answer(t.Context(), "t1")
 		must(t, err)
@@ -322,15 +335,15 @@
 	{"a draining worker finishes its tasks and takes no new ones", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
 		must(t, f.target.Health(t.Context()))
-		result := f.start(t, newTask("t1", "/x?duration_ms=5000"))
+		result := f.start(t, f.newTask("t1", "/x?duration_ms=5000"))
 		f.worker.SetDraining(true)
 		want(t, f.target.Health(t.Context()), runner.ErrDraining)
-		want(t, <-f.start(t, newTask("t2", "/x")), runner.ErrNotRun, runner.ErrDraining)
+		want(t, <-f.start(t, f.newTask("t2", "/x")), runner.ErrNotRun, runner.ErrDraining)
 		must(t, <-result)
 	}},
 	{"a reboot changes the boot id and forgets the tasks", func(t *testing.T, f fixture) {
 		boot := f.open(t, "s1")
-		result := f.start(t, newTask("t1", "/x?duration_ms=5000"))
+		result := f.start(t, f.newTask("t1", "/x?duration_ms=5000"))
 		f.worker.Reboot()
 		want(t, <-result, runner.ErrOutcomeUnknown)
 		_, err := f.target.Status(t.Context(), "t1")
@@ -339,10 +352,37 @@
 			t.Fatal("the boot id did not change")
 		}
 	}},
+	{"a renewal opens no session and extends none of an earlier life", func(t *testing.T, f fixture) {
+		renew := func(boot string) error {
+			return f.target.RenewSession(t.Context(), "s1", boot, 10*time.Second)
+		}
+		want(t, renew(f.boot()), runner.ErrSessionEnded)
+		boot := f.open(t, "s1")
+		must(t, renew(boot))
+		f.worker.Reboot()
+		want(t, renew(boot), runner.ErrSessionEnded)
+		want(t, renew(f.boot()), runner.ErrSessionEnded)
+		f.open(t, "s1")
+		want(t, renew(boot), runner.ErrSessionEnded)
+	}},
+	{"a start of an earlier life is not run although its session was opened again", func(t *testing.T, f fixture) {
+		f.open(t, "s1")
+		task := f.newTask("t1", "/x")
+		_, err := f.target.RevokeSession(t.Context(), "s1")
+		must(t, err)
+		f.worker.Reboot()
+		f.open(t, "s1")
+		want(t, <-f.start(t, task), runner.ErrNotRun, runner.ErrSessionEnded)
+		task.Boot = ""
+		want(t, <-f.start(t, task), runner.ErrNotRun, runner.ErrSessionEnded)
+		if runs := f.worker.Runs().Runs; len(runs) != 0 {
+			t.Fatalf("runs: %+v", runs)
+		}
+	}},
 	{"usage lags", func(t *testing.T, f fixture) {
 		must(t, f.worker.SetFaults(emulator.WorkerFaults{UsageLagMS: 2000}))
 		f.open(t, "s1")
-		f.start(t, newTask("t1", "/x?duration_ms=9000"))
+		f.start(t, f.newTask("t1", "/x?duration_ms=9000"))
 		for _, running := range []int{0, 1} {
 			usage, err := f.target.Usage(t.Context())
 			must(t, err)
@@ -355,7 +395,7 @@
 	{"a worker that fails everything answers with an error status", func(t *testing.T, f fixture) {
 		must(t, f.worker.SetFaults(emulator.WorkerFaults{FailAll: true}))
 		f.open(t, "s1")
-		answer, err := f.target.Start(t.Context(), newTask("t1", "/x?duration_ms=5000"), strings.NewReader("body"))
+		answer, err := f.target.Start(t.Context(), f.newTask("t1", "/x?duration_ms=5000"), strings.NewReader("body"))
 		must(t, err)
 		defer answer.Body.Close()
 		if answer.Status != http.StatusInternalServerError {
@@ -365,7 +405,7 @@
 	{"a cut answer is not taken as whole", func(t *testing.T, f fixture) {
 		must(t, f.worker.SetFaults(emulator.WorkerFaults{Truncate: true}))
 		f.open(t, "s1")
-		answer, err := f.target.Start(t.Context(), newTask("t1", "/x?bytes=100000"), strings.NewReader("body"))
+		answer, err := f.target.Start(t.Context(), f.newTask("t1", "/x?bytes=100000"), strings.NewReader("body"))
 		must(t, err)
 		defer answer.Body.Close()
 		n, err := io.Copy(io.Discard, answer.Body)
@@ -376,7 +416,7 @@
 	}},
 	{"a malformed task is not run", func(t *testing.T, f fixture) {
 		f.open(t, "s1")
-		want(t, <-f.start(t, newTask("t1", "/x?status=100")), runner.ErrNotRun, runner.ErrInvalid)
+		want(t, <-f.start(t, f.newTask("t1", "/x?status=100")), runner.ErrNotRun, runner.ErrInvalid)
 	}},
 }
 
--- a/pkg/runner/keeper.go
+++ b/pkg/runner/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -46,7 +45,7 @@
 }
 
 // kept is one session of a Keeper. The fields below ready are written before
-// ready is closed and guarded by Keeper.mu from then on.
+// ready is closed and guarded by Keeper.mu from then on; boot never changes again.
 type kept struct {
 	id     string
 	target Target
@@ -260,16 +259,11 @@
 	ctx, cancel := context.WithTimeout(ctx, k.cfg.Timeout)
 	defer cancel()
 	start := time.Now()
-	boot, err := s.target.OpenSession(ctx, s.id, k.cfg.TTL)
-	if err != nil {
+	if err := s.target.RenewSession(ctx, s.id, s.boot, k.cfg.TTL); err != nil {
 		return err
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if boot != s.boot {
-		// The restarted worker has lost the tasks. A session stands for one boot id.
-		return fmt.Errorf("%w: boot id is %s instead of %s", ErrSessionEnded, boot, s.boot)
-	}
 	s.start = start
 	return nil
 }
--- a/pkg/runner/keeper_test.go
+++ b/pkg/runner/keeper_test.go
@@ -27,6 +27,14 @@
 	return c.Target.OpenSession(ctx, id, ttl)
 }
 
+func (c *counting) RenewSession(ctx context.Context, id, boot string, ttl time.Duration) error {
+	c.opens.Add(1)
+	if c.fail.Load() {
+		return errors.New("unreachable")
+	}
+	return c.Target.RenewSession(ctx, id, boot, ttl)
+}
+
 type keeperFixture struct {
 	*runner.Keeper
 	right  atomic.Bool
@@ -54,8 +62,9 @@
 // run starts a task under the session and waits for its end.
 func (f *keeperFixture) run(t *testing.T, s *runner.Session, id, path string) error {
 	t.Helper()
-	task := newTask(id, path)
+	task := fixture{f.target, f.worker}.newTask(id, path)
 	task.Session = s.ID
+	task.Boot = s.Boot
 	return <-fixture{f.target, f.worker}.start(t, task)
 }
 
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -48,6 +48,7 @@
 type Task struct {
 	ID         string        `json:"id"` // unique for each attempt; starting the same id twice on one worker runs it once
 	Session    string        `json:"session"`
+	Boot       string        `json:"boot"`     // boot id under which the session was opened
 	Identity   string        `json:"identity"` // request identity, passed on to the application; may be empty
 	Team       string        `json:"team"`     // empty on queues open to all
 	Pool       string        `json:"pool"`
@@ -109,14 +110,19 @@
 // ErrSessionEnded always come together with it. Any other error of Start
 // leaves the outcome unknown until Status tells it.
 type Target interface {
-	// OpenSession opens the session, or renews it when it is open, for ttl from now on the
-	// worker's clock. It returns the worker's boot id, which changes when the worker restarts.
+	// OpenSession opens a new session for ttl from now on the worker's clock. It returns the
+	// worker's boot id, which changes when the worker restarts. Opening an open session again
+	// returns the boot id and leaves the end of the session as it is.
 	OpenSession(ctx context.Context, id string, ttl time.Duration) (boot string, err error)
+	// RenewSession extends an open session to ttl from now. It never opens one: a session that
+	// is unknown to the worker or was opened under another boot id gives ErrSessionEnded.
+	RenewSession(ctx context.Context, id, boot string, ttl time.Duration) error
 	// RevokeSession ends a session for good, also one that the worker has not seen yet.
 	// Its running tasks go on until the session's ttl has passed unless they are adopted.
 	RevokeSession(ctx context.Context, id string) (Revocation, error)
 	// Start runs the task and returns when the answer begins. Starting a known task
-	// again returns the answer of its one run.
+	// again returns the answer of its one run. A start with the boot id of an earlier life of
+	// the worker gives ErrSessionEnded: its session may have been revoked in that life.
 	Start(ctx context.Context, task Task, body io.Reader) (*Answer, error)
 	// Status returns the state of a task, or ErrUnknownTask.
 	Status(ctx context.Context, task string) (Status, error)
