--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -207,6 +207,7 @@
 		Limiter:         e.pacer,
 		Targets:         e.dispatcher.Target,
 		Dispatcher:      e.dispatcher,
+		MayUse:          func(team string) bool { return team == "" || e.holder.Permitted() },
 		Logger:          e.logger("journal"),
 		RecoveryTimeout: s.RecoveryTimeout,
 		RenewInterval:   s.SessionRenewalInterval,
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,7 +39,7 @@
 	ForwardJob(ctx context.Context, peer string, r JobRequest) Result
 }
 
-// Config configures a Dispatcher. All fields but Seed are required.
+// Config configures a Dispatcher. All fields but Seed and Dial are required.
 type Config struct {
 	Entry            string
 	AvailabilityZone string
@@ -53,6 +54,8 @@
 	MaxRequestBytes int64
 	MaxAnswerBytes  int64
 	Seed            uint64
+	// Dial opens connections to targets; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Dispatcher takes requests to their answers.
--- /dev/null
+++ b/internal/dispatcher/harness_test.go
@@ -0,0 +1,250 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/comfreyford/comfreyford/internal/emulator"
+	"github.com/comfreyford/comfreyford/internal/recorder"
+	"github.com/comfreyford/comfreyford/pkg/configurer"
+	"github.com/comfreyford/comfreyford/pkg/journaler"
+	"github.com/comfreyford/comfreyford/pkg/limiter"
+	"github.com/comfreyford/comfreyford/pkg/lister"
+	"github.com/comfreyford/comfreyford/pkg/planner"
+	"github.com/comfreyford/comfreyford/pkg/registrar"
+	"github.com/comfreyford/comfreyford/pkg/runner"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+const (
+	team      = "craie"
+	teamLimit = 4
+)
+
+// members is a membership of one entry daemon whose right holds.
+type members struct{}
+
+func (members) Right() registrar.Right {
+	return registrar.Right{
+		Until: time.Now().Add(time.Hour),
+		Term:  1,
+	}
+}
+
+func (members) Begin(bool) (func(), error)           { return func() {}, nil }
+func (members) RefreshMembers(context.Context) error { return nil }
+func (members) Reclaimable(string, uint64) bool      { return false }
+func (members) Epoch() (string, int)                 { return "", 0 }
+func (members) Observe(time.Time, error)             {}
+
+// nobody is the absence of peers.
+type nobody struct{}
+
+func (nobody) SpareFor(string, int) string { return "" }
+func (nobody) Forward(context.Context, string, Request) Result {
+	return NotRun(ReasonPeerUnreachable, "")
+}
+func (nobody) ForwardJob(context.Context, string, JobRequest) Result {
+	return NotRun(ReasonPeerUnreachable, "")
+}
+func (nobody) TransferAllowance(context.Context, limiter.HolderID, limiter.TransferRequest) (limiter.TransferAnswer, error) {
+	return limiter.TransferAnswer{}, nil
+}
+
+// fixture is one entry daemon's dispatcher with its journal, an emulated worker of
+// 8 slots and a store in memory. It belongs in a synctest bubble.
+type fixture struct {
+	*Dispatcher
+	worker *emulator.Worker
+	server *emulator.WorkerServer
+	store  *storer.Memory
+	calls  atomic.Int64 // to the store by the journal
+	delay  atomic.Int64 // of each of them, in nanoseconds
+}
+
+func newFixture(t testing.TB) *fixture {
+	t.Helper()
+	f := &fixture{store: storer.NewMemory()}
+	f.newWorker(t)
+	id := limiter.HolderID{
+		Entry:       "a",
+		Incarnation: 1,
+	}
+	holder := limiter.NewHolder(id, members{}.Right)
+	limits := limiter.NewKeeper(limiter.Config{
+		Store:       f.store,
+		Members:     members{},
+		Peers:       nobody{},
+		Holder:      holder,
+		CallTimeout: time.Second,
+	})
+	limits.SetLimits(1, map[string]int{team: teamLimit})
+	f.newDispatcher(t, holder)
+	journal := f.newJournal(t)
+	f.SetJournal(journal)
+	ctx, cancel := context.WithCancel(context.Background())
+	go limits.Run(ctx) //nolint:errcheck // ends with the test
+	go f.Run(ctx)      //nolint:errcheck // ends with the test
+	journal.SetMembers(ctx, []string{"a"})
+	t.Cleanup(func() {
+		journal.Close(ctx)
+		cancel()
+		f.Close()
+		synctest.Wait()
+		f.server.Close() //nolint:errcheck // the test is over
+		synctest.Wait()
+	})
+	f.addTarget()
+	time.Sleep(5 * time.Second) // takeovers, usage, limits
+	return f
+}
+
+func (f *fixture) newWorker(t testing.TB) {
+	t.Helper()
+	var err error
+	f.worker, err = emulator.NewWorker(emulator.WorkerConfig{Total: emulator.DefaultResources()})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fixture) newDispatcher(t testing.TB, holder *limiter.Holder) {
+	t.Helper()
+	listener := emulator.NewMemoryListener()
+	server, err := emulator.NewWorkerServer(f.worker, listener, emulator.DefaultConnections)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.server = server
+	go server.Serve() //nolint:errcheck // ends with the test
+	figures, err := recorder.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	tree := newTree()
+	f.Dispatcher = New(Config{
+		Entry:           "a",
+		Tree:            func() *configurer.Tree { return tree },
+		Fresh:           func() bool { return true },
+		Holder:          holder,
+		Peers:           nobody{},
+		Recorder:        figures,
+		Logger:          hclog.NewNullLogger(),
+		MaxRequestBytes: 1 << 20,
+		MaxAnswerBytes:  1 << 20,
+		Dial:            listener.DialContext,
+	})
+}
+
+func newTree() *configurer.Tree {
+	queue := func(class configurer.Class, slots int) configurer.Queue {
+		return configurer.Queue{
+			Pool:      "p",
+			Class:     class,
+			Resources: runner.Resources{Slots: slots},
+		}
+	}
+	return &configurer.Tree{
+		Teams: map[string]configurer.Team{team: {
+			Weight: 1,
+			Limit:  teamLimit,
+			Keys:   []configurer.Key{{ID: "k"}},
+		}},
+		Queues: map[string]configurer.Queue{
+			"orders": queue(configurer.ClassInteractive, 1),
+			"plans":  queue(configurer.ClassDeferrable, 3),
+			"public": {
+				Pool:  "p",
+				Open:  true,
+				Class: configurer.ClassDeferrable,
+			},
+		},
+	}
+}
+
+func (f *fixture) newJournal(t testing.TB) *journaler.Journal {
+	t.Helper()
+	return journaler.New(journaler.Config{
+		Store: &storer.Faulty{
+			Store: f.store,
+			Before: func(context.Context, storer.Op, string) error {
+				f.calls.Add(1)
+				time.Sleep(time.Duration(f.delay.Load()))
+				return nil
+			},
+		},
+		Entry:      "a",
+		Limiter:    &journaler.Pacer{},
+		Targets:    f.Target,
+		Dispatcher: f.Dispatcher,
+	})
+}
+
+func (f *fixture) addTarget() {
+	f.SetTargets([]lister.VM{{
+		Name:    "vm",
+		Address: "vm:1",
+		State:   lister.StateLive,
+	}}, planner.Fleet{
+		VMs: map[string]planner.VM{"vm": {
+			Pool:  "p",
+			State: planner.StateServing,
+		}},
+	})
+}
+
+// order sends a non-idempotent request and reads its answer.
+func (f *fixture) order(t testing.TB, identity, path string, timeout time.Duration) Result {
+	t.Helper()
+	result := f.Submit(t.Context(), Request{
+		Queue:    "orders",
+		Method:   http.MethodPost,
+		Path:     path,
+		Identity: identity,
+		Team:     team,
+		KeyID:    "k",
+		Deadline: time.Now().Add(timeout),
+		Body:     strings.NewReader("chalk"),
+	})
+	if result.Body != nil {
+		if _, err := io.Copy(io.Discard, result.Body); err != nil {
+			t.Error(err)
+		}
+		result.Body.Close()
+	}
+	return result
+}
+
+func newIdentity(t testing.TB) string {
+	t.Helper()
+	id, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The clock of a synctest bubble is not that of the library.
+	ms := time.Now().UnixMilli()
+	for n := range 6 {
+		id[n] = byte(ms >> (40 - 8*n))
+	}
+	return id.String()
+}
+
+// job is a request of a queue as the journal places it.
+func job(queue, team string) journaler.Job {
+	return journaler.Job{
+		Request: journaler.Request{
+			Queue:      queue,
+			Team:       team,
+			DeadlineMS: time.Now().Add(time.Hour).UnixMilli(),
+		},
+	}
+}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -111,10 +111,29 @@
 		Target:    g.target.client,
 		Pool:      p.name,
 		Resources: need.Resources,
-		Release:   func() { g.release(true) },
+		Release:   g.release,
 	}, nil
 }
 
+// Acquire implements journaler.Dispatcher: it waits for allowance for a task that
+// was started by another entry daemon and is adopted here.
+func (d *Dispatcher) Acquire(ctx context.Context, job journaler.Job) (func(ended bool), error) {
+	team := job.Request.Team
+	if team == "" {
+		return func(bool) {}, nil
+	}
+	// The record does not say how many slots the task has, only its queue does.
+	queue, ok := d.cfg.Tree().Queues[job.Request.Queue]
+	if !ok {
+		return nil, Error.New("allowance of an adopted task: no queue %q", job.Request.Queue)
+	}
+	slots := max(1, queue.Resources.Slots)
+	if err := d.cfg.Holder.AcquireWait(ctx, team, slots); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return func(ended bool) { d.releaseAllowance(team, slots, ended) }, nil
+}
+
 // complete tells whether the size of every target of the pool is known, so that a
 // request larger than all of them can never run.
 func (p *pool) complete() bool {
--- a/internal/dispatcher/journaled.go
+++ b/internal/dispatcher/journaled.go
@@ -122,7 +122,7 @@
 		return d.journalError(err, false)
 	}
 	if out.Fresh { // the record has just expired
-		d.cfg.Journal.Detach(sub.ID)
+		d.cfg.Journal.Detach(sub.ID, nil)
 	}
 	return d.await(ctx, sub.ID, sub.Request.Team)
 }
@@ -166,7 +166,7 @@
 	if tries == 0 {
 		return refusal
 	}
-	d.cfg.Journal.Detach(sub.ID)
+	d.cfg.Journal.Detach(sub.ID, nil)
 	life, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
 	if err := d.cfg.Journal.Fail(life, sub.ID, journaler.Verdict(refusal.Reason)); err != nil {
@@ -217,7 +217,7 @@
 	}
 	if err := d.cfg.Journal.Start(ctx, sub.ID, attempt); err != nil {
 		release(true)
-		d.cfg.Journal.Detach(sub.ID)
+		d.cfg.Journal.Detach(sub.ID, nil)
 		return d.afterLostStart(ctx, p, err), false
 	}
 	return d.startOnce(ctx, p, sub, g, id, session, release)
@@ -255,8 +255,7 @@
 		return Result{}, true
 	}
 	p.pool.record(g.target, false)
-	release(false)
-	d.cfg.Journal.Detach(sub.ID)
+	d.cfg.Journal.Detach(sub.ID, release)
 	return d.await(ctx, sub.ID, p.Team), false
 }
 
@@ -267,8 +266,7 @@
 	head, err := io.ReadAll(io.LimitReader(answer.Body, journaler.MaxBlobBytes+1))
 	if err != nil {
 		_ = answer.Body.Close()
-		release(false)
-		d.cfg.Journal.Detach(sub.ID)
+		d.cfg.Journal.Detach(sub.ID, release)
 		return d.await(ctx, sub.ID, sub.Request.Team)
 	}
 	if err := d.cfg.Journal.Finish(ctx, sub.ID, id, journaler.Finished{
@@ -278,7 +276,7 @@
 	}); err != nil {
 		d.cfg.Logger.Warn("answer not recorded", "error", err)
 	}
-	d.cfg.Journal.Detach(sub.ID)
+	d.cfg.Journal.Detach(sub.ID, nil)
 	body := &answerBody{ReadCloser: answer.Body}
 	return Result{
 		Outcome:     OutcomeDone,
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -192,7 +192,7 @@
 	m := p.members[placement.Target]
 	if !placed || m == nil { // Fits has just said otherwise
 		p.sched.Finish(w.team, w.need.Resources)
-		p.releaseAllowance(w.team, w.slots)
+		p.d.releaseAllowance(w.team, w.slots, true)
 		w.granted <- nil
 		return false
 	}
@@ -208,15 +208,20 @@
 	return true
 }
 
-func (p *pool) releaseAllowance(team string, slots int) {
-	if team != "" {
-		p.d.cfg.Holder.Release(team, slots)
+// releaseAllowance gives allowance back. ended tells whether the task certainly runs
+// no more; otherwise the allowance stays taken until the session must have ended,
+// because the task may run on until then.
+func (d *Dispatcher) releaseAllowance(team string, slots int, ended bool) {
+	switch {
+	case team == "":
+	case ended:
+		d.cfg.Holder.Release(team, slots)
+	default:
+		time.AfterFunc(sessionEnd, func() { d.cfg.Holder.Release(team, slots) })
 	}
 }
 
-// release ends the attempt. ended tells whether the task certainly runs no more;
-// otherwise the allowance stays taken until the session must have ended, because
-// the task may run on until then.
+// release ends the attempt; ended is that of releaseAllowance.
 func (g *grant) release(ended bool) {
 	p := g.pool
 	p.mu.Lock()
@@ -226,11 +231,7 @@
 	if g.member.grants == 0 && g.member.idle != nil {
 		close(g.member.idle)
 	}
-	if ended {
-		p.releaseAllowance(g.team, g.resources.Slots)
-	} else if g.team != "" {
-		time.AfterFunc(sessionEnd, func() { p.releaseAllowance(g.team, g.resources.Slots) })
-	}
+	p.d.releaseAllowance(g.team, g.resources.Slots, ended)
 	p.pump(time.Now())
 	p.mu.Unlock()
 }
--- a/pkg/journaler/harness_test.go
+++ b/pkg/journaler/harness_test.go
@@ -76,6 +76,10 @@
 	calls   int
 	crashAt int    // pauses for good at this call, counted before and after each call; zero: never
 	crashOn string // counts only calls for this shard and for bodies and results
+	free    int    // allowance that is not in use
+	ended   []bool // arguments of the releases
+	noRight bool
+	lapse   bool // the right runs out with the next placement
 }
 
 func newWorld(t testing.TB, owners int) *world {
@@ -87,20 +91,80 @@
 		fresh:  map[uuid.UUID]bool{},
 	}
 	for n := range owners {
-		o := &owner{w: w, name: string(rune('a' + n))}
-		target := &gated{worker: w.worker, gate: &o.gate}
+		o := &owner{
+			w:    w,
+			name: string(rune('a' + n)),
+			free: ownerAllowance,
+		}
+		target := &gated{
+			worker: w.worker,
+			gate:   &o.gate,
+			owner:  o,
+		}
 		o.j = New(Config{
-			Store:      &storer.Faulty{Store: w.store, Before: o.before, After: o.after},
-			Entry:      o.name,
-			Limiter:    &Pacer{},
-			Targets:    func(string) (runner.Target, error) { return target, nil },
-			Dispatcher: placer{target: target},
+			Store:   &storer.Faulty{Store: w.store, Before: o.before, After: o.after},
+			Entry:   o.name,
+			Limiter: &Pacer{},
+			Targets: func(string) (runner.Target, error) { return target, nil },
+			Dispatcher: &placer{
+				target: target,
+				owner:  o,
+			},
+			MayUse: o.mayUse,
 		})
 		w.owners = append(w.owners, o)
 	}
 	return w
 }
 
+const (
+	// ownerAllowance is what each owner may run at a time.
+	ownerAllowance = 3
+	// sessionEnd is the time after which a session without renewals has certainly ended.
+	sessionEnd = 20200 * time.Millisecond
+)
+
+func (o *owner) mayUse(string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.noRight
+}
+
+// acquire waits for allowance.
+func (o *owner) acquire(ctx context.Context) (func(ended bool), error) {
+	for !o.take() {
+		if err := sleep(ctx, 100*time.Millisecond); err != nil {
+			return nil, err
+		}
+	}
+	return func(ended bool) {
+		o.mu.Lock()
+		o.ended = append(o.ended, ended)
+		o.mu.Unlock()
+		if ended {
+			o.giveBack()
+		} else {
+			time.AfterFunc(sessionEnd, o.giveBack)
+		}
+	}, nil
+}
+
+func (o *owner) take() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.free <= 0 {
+		return false
+	}
+	o.free--
+	return true
+}
+
+func (o *owner) giveBack() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.free++
+}
+
 // toggle cuts the owner off from the store, or connects it again.
 func (o *owner) toggle() {
 	o.mu.Lock()
@@ -182,6 +246,8 @@
 	away     bool
 	status   int
 	large    int // bytes added to each answer
+	duration time.Duration
+	peak     int // most jobs that ran at the same time
 }
 
 type task struct {
@@ -189,12 +255,17 @@
 	state   runner.State
 	done    chan struct{}
 	data    []byte
+	job     bool
 }
 
 var errAway = errors.New("no answer")
 
 func newWorker() *worker {
-	w := &worker{runs: map[string]int{}, status: 200}
+	w := &worker{
+		runs:     map[string]int{},
+		status:   200,
+		duration: 4 * time.Second,
+	}
 	w.restart()
 	return w
 }
@@ -259,13 +330,31 @@
 	if end, ok := w.sessions[t.Session]; !ok || t.Boot != fmt.Sprint(w.boot) || w.revoked[t.Session] || time.Now().After(end) {
 		return nil, fmt.Errorf("%w: %w", runner.ErrNotRun, runner.ErrSessionEnded)
 	}
-	tk := &task{session: t.Session, state: runner.StateRunning, done: make(chan struct{}), data: append(resultOf(t.Identity, body), make([]byte, w.large)...)}
+	tk := &task{
+		session: t.Session,
+		state:   runner.StateRunning,
+		done:    make(chan struct{}),
+		data:    append(resultOf(t.Identity, body), make([]byte, w.large)...),
+		job:     t.Deferrable,
+	}
 	w.tasks[t.ID] = tk
 	w.runs[t.Identity]++
-	time.AfterFunc(4*time.Second, func() { w.end(tk, true) })
+	w.peak = max(w.peak, w.jobs())
+	time.AfterFunc(w.duration, func() { w.end(tk, true) })
 	return tk, nil
 }
 
+// jobs counts the running jobs. The lock is held.
+func (w *worker) jobs() int {
+	n := 0
+	for _, tk := range w.tasks {
+		if tk.job && tk.state == runner.StateRunning && time.Now().Before(w.sessions[tk.session]) {
+			n++
+		}
+	}
+	return n
+}
+
 // resultOf is what the application answers; every other identity gets a large result.
 func resultOf(identity string, body []byte) []byte {
 	data := []byte(identity + ":" + string(body))
@@ -324,6 +413,14 @@
 	runner.Target
 	worker *worker
 	gate   *gate
+	owner  *owner
+}
+
+// permitted fails the test when work is started or prolonged without the right.
+func (g *gated) permitted(call string) {
+	if !g.owner.mayUse("") {
+		g.owner.w.t.Errorf("%s by %s without the right", call, g.owner.name)
+	}
 }
 
 func (g *gated) OpenSession(_ context.Context, id string, ttl time.Duration) (string, error) {
@@ -332,6 +429,7 @@
 }
 
 func (g *gated) RenewSession(_ context.Context, id, boot string, ttl time.Duration) error {
+	g.permitted("renewal")
 	defer g.gate.cross()()
 	return g.worker.renew(id, boot, ttl)
 }
@@ -348,6 +446,7 @@
 }
 
 func (g *gated) Start(ctx context.Context, t runner.Task, body io.Reader) (*runner.Answer, error) {
+	g.permitted("start")
 	defer g.gate.cross()()
 	data, err := io.ReadAll(body)
 	if err != nil {
@@ -366,10 +465,15 @@
 	if g.worker.away {
 		return nil, errAway
 	}
-	if tk := g.worker.tasks[id]; tk != nil {
-		return tk, nil
+	tk := g.worker.tasks[id]
+	if tk == nil {
+		return nil, runner.ErrUnknownTask
+	}
+	if tk.state == runner.StateRunning && !time.Now().Before(g.worker.sessions[tk.session]) {
+		tk.state = runner.StateStopped
+		close(tk.done)
 	}
-	return nil, runner.ErrUnknownTask
+	return tk, nil
 }
 
 func (g *gated) Status(_ context.Context, id string) (runner.Status, error) {
@@ -393,6 +497,7 @@
 }
 
 func (g *gated) Adopt(_ context.Context, id, session string) error {
+	g.permitted("adoption")
 	defer g.gate.cross()()
 	tk, err := g.find(id)
 	if err != nil {
@@ -412,11 +517,26 @@
 	return err
 }
 
-type placer struct{ target runner.Target }
+type placer struct {
+	target runner.Target
+	owner  *owner
+}
 
-func (p placer) Place(_ context.Context, job Job) (Placement, error) {
+func (p *placer) Place(ctx context.Context, job Job) (Placement, error) {
 	if job.Request.Queue == "never" {
 		return Placement{}, ErrNeverRuns
 	}
-	return Placement{Name: "w", Target: p.target}, nil
+	release, err := p.owner.acquire(ctx)
+	p.owner.mu.Lock()
+	p.owner.noRight = p.owner.noRight || p.owner.lapse
+	p.owner.mu.Unlock()
+	return Placement{
+		Name:    "w",
+		Target:  p.target,
+		Release: release,
+	}, err
+}
+
+func (p *placer) Acquire(ctx context.Context, _ Job) (func(ended bool), error) {
+	return p.owner.acquire(ctx)
 }
--- a/pkg/journaler/holder.go
+++ b/pkg/journaler/holder.go
@@ -67,6 +67,7 @@
 	t.loop()
 	h.set(nil)
 	t.wg.Wait()
+	t.close()
 }
 
 func (h *holder) set(t *tenure) {
@@ -101,6 +102,7 @@
 	active    map[uuid.UUID]context.CancelFunc // records with a runner
 	online    map[uuid.UUID]int                // above zero: the caller is on the line here
 	notBefore map[uuid.UUID]time.Time          // jobs that wait for another try
+	detached  map[uuid.UUID]func(ended bool)   // allowances of started records without a runner; nil after close
 }
 
 func newTenure(j *Journal, s *Shard) *tenure {
@@ -110,6 +112,42 @@
 		active:    map[uuid.UUID]context.CancelFunc{},
 		online:    map[uuid.UUID]int{},
 		notBefore: map[uuid.UUID]time.Time{},
+		detached:  map[uuid.UUID]func(ended bool){},
+	}
+}
+
+// detach takes over a record whose caller no longer runs it.
+func (t *tenure) detach(id uuid.UUID, release func(ended bool)) {
+	r, ok := t.shard.Record(id)
+	t.mu.Lock()
+	delete(t.online, id)
+	if release != nil && t.detached != nil && ok && !r.State.Final() {
+		t.detached[id] = release
+		release = nil
+	}
+	t.mu.Unlock()
+	if release != nil {
+		release(false)
+	}
+}
+
+// takeDetached returns the allowance that came with detach, or nil.
+func (t *tenure) takeDetached(id uuid.UUID) func(ended bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	release := t.detached[id]
+	delete(t.detached, id)
+	return release
+}
+
+// close releases the allowances that nothing has taken over.
+func (t *tenure) close() {
+	t.mu.Lock()
+	rest := t.detached
+	t.detached = nil
+	t.mu.Unlock()
+	for _, release := range rest {
+		release(false)
 	}
 }
 
@@ -161,6 +199,9 @@
 
 // forget stops the runner of a record that has ended.
 func (t *tenure) forget(id uuid.UUID) {
+	if release := t.takeDetached(id); release != nil {
+		release(false)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if cancel, ok := t.active[id]; ok {
@@ -171,7 +212,7 @@
 }
 
 // spawn runs work for a record. With a full slots channel it does nothing; a later scan tries again.
-func (t *tenure) spawn(life context.Context, r Record, slots chan struct{}, work func(ctx context.Context, r Record)) {
+func (t *tenure) spawn(life context.Context, r Record, slots chan struct{}, work func(ctx context.Context, r Record, held *allowance)) {
 	if slots != nil {
 		select {
 		case slots <- struct{}{}:
@@ -183,42 +224,48 @@
 	t.mu.Lock()
 	t.active[r.ID] = cancel
 	t.mu.Unlock()
+	held := &allowance{}
+	if release := t.takeDetached(r.ID); release != nil {
+		held.take(release)
+	}
 	t.wg.Go(func() {
-		work(ctx, r)
+		work(ctx, r, held)
 		cancel()
 		if slots != nil {
 			<-slots
 		}
-		t.stopCancelled(life, r.ID)
+		held.end(t.stopCancelled(life, r.ID))
 		t.mu.Lock()
 		delete(t.active, r.ID)
 		t.mu.Unlock()
 	})
 }
 
-// stopCancelled ends the task of a record that was cancelled while it ran. It
-// has slots of its own: a wave of cancellations at a silent target would
-// otherwise hold the slots of new jobs.
-func (t *tenure) stopCancelled(ctx context.Context, id uuid.UUID) {
+// stopCancelled ends the task of a record that was cancelled while it ran, and
+// reports whether the task was stopped. It has slots of its own: a wave of
+// cancellations at a silent target would otherwise hold the slots of new jobs.
+func (t *tenure) stopCancelled(ctx context.Context, id uuid.UUID) bool {
 	r, ok := t.shard.Record(id)
 	if !ok || r.State != StateCancelled || r.Task == "" {
-		return
+		return false
 	}
 	target, err := t.j.cfg.Targets(r.Target)
 	if err != nil {
-		return
+		return false
 	}
 	select {
 	case t.j.stopping <- struct{}{}:
 		defer func() { <-t.j.stopping }()
 	case <-ctx.Done():
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, t.j.cfg.CallTimeout)
 	defer cancel()
 	if err := target.Stop(ctx, r.Task); err != nil {
 		t.j.cfg.Logger.Warn("stop of cancelled task failed", "task", r.Task, "error", err)
+		return false
 	}
+	return true
 }
 
 // delay keeps a job from being tried again at once.
--- a/pkg/journaler/journal.go
+++ b/pkg/journaler/journal.go
@@ -22,8 +22,11 @@
 	Limiter    Limiter
 	Targets    func(name string) (runner.Target, error) // finds a recorded target again
 	Dispatcher Dispatcher
-	Now        func() time.Time // default time.Now
-	Logger     hclog.Logger     // default: none
+	// MayUse reports whether this entry daemon may start and renew work of a team now;
+	// it must not block. Default: always.
+	MayUse func(team string) bool
+	Now    func() time.Time // default time.Now
+	Logger hclog.Logger     // default: none
 
 	CallTimeout     time.Duration // of one call to the store or of one short call to a target; default 2 s
 	RetryDelay      time.Duration // after a failed call; default 100 ms
@@ -41,6 +44,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.MayUse == nil {
+		c.MayUse = func(string) bool { return true }
+	}
 	if c.Logger == nil {
 		c.Logger = hclog.NewNullLogger()
 	}
@@ -261,14 +267,16 @@
 // Detach says that the caller of a fresh request on the line no longer runs
 // it. A record that is still open is then ended by the journal: an accepted one
 // as not run, a started one by recovery. Every fresh request needs one Detach.
-func (j *Journal) Detach(id uuid.UUID) {
+//
+// If the task may still run, release hands over the allowance under which it was
+// started, as Placement.Release does; otherwise it is nil.
+func (j *Journal) Detach(id uuid.UUID, release func(ended bool)) {
 	t, err := j.tenure(id)
-	if err != nil {
-		return // the next tenure finds no caller for the record
+	if err == nil {
+		t.detach(id, release)
+	} else if release != nil {
+		release(false) // the next tenure finds no caller for the record
 	}
-	t.mu.Lock()
-	delete(t.online, id)
-	t.mu.Unlock()
 }
 
 // Start records an attempt of a request on the line. Only after it returned
--- a/pkg/journaler/journal_test.go
+++ b/pkg/journaler/journal_test.go
@@ -42,7 +42,7 @@
 func (w *world) online(o *owner, id uuid.UUID, body []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	defer o.j.Detach(id)
+	defer o.j.Detach(id, nil)
 	target, _ := o.j.cfg.Targets("w")
 	task := id.String() + ".1"
 	boot, err := target.OpenSession(ctx, task, 10*time.Second)
@@ -92,6 +92,9 @@
 	for _, id := range ids {
 		w.verify(t, last, id)
 	}
+	if limit := len(w.owners) * ownerAllowance; w.worker.peak > limit {
+		t.Errorf("%d jobs ran at the same time, want at most %d", w.worker.peak, limit)
+	}
 	for _, o := range w.owners {
 		o.j.Close(context.Background())
 	}
--- a/pkg/journaler/limits_test.go
+++ b/pkg/journaler/limits_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/comfreyford/comfreyford/pkg/runner"
 )
 
@@ -95,11 +98,12 @@
 func TestLateStartAfterRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w, ids := newWorld(t, 2), newIDs(1)
+		dispatcher := w.owners[0].j.cfg.Dispatcher.(*placer)
 		late := &delayed{
-			Target: w.owners[0].j.cfg.Dispatcher.(placer).target,
+			Target: dispatcher.target,
 			until:  make(chan struct{}),
 		}
-		w.owners[0].j.cfg.Dispatcher = placer{target: late}
+		dispatcher.target = late
 		w.members("a")
 		time.Sleep(time.Second)
 		w.submit(w.owners[0], ids[0], request(1))
@@ -115,6 +119,117 @@
 	})
 }
 
+// Guards against work beyond the limit of a team: allowance that is given back
+// while the task may run, tasks that are adopted without allowance, and sessions
+// that are renewed without the right to.
+func TestTasksCountAgainstTheLimit(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(w *world, id uuid.UUID)
+		state  State
+		ended  map[string][]bool // releases by owner
+	}{
+		{
+			name:   "undisturbed",
+			change: func(*world, uuid.UUID) {},
+			state:  StateDone,
+			ended:  map[string][]bool{"a": {true}},
+		},
+		{
+			name:   "adopted with allowance",
+			change: func(w *world, _ uuid.UUID) { w.members("b") },
+			state:  StateDone,
+			ended:  map[string][]bool{"a": {false}, "b": {true}},
+		},
+		{
+			name: "not adopted without allowance",
+			change: func(w *world, _ uuid.UUID) {
+				w.owners[1].free = 0
+				w.members("b")
+			},
+			state: StateUnknown,
+			ended: map[string][]bool{"a": {false}},
+		},
+		{
+			name: "not adopted without the right",
+			change: func(w *world, _ uuid.UUID) {
+				w.owners[1].noRight = true
+				w.members("b")
+			},
+			state: StateUnknown,
+			ended: map[string][]bool{"a": {false}, "b": {true}},
+		},
+		{
+			name:   "right ran out",
+			change: func(w *world, _ uuid.UUID) { w.owners[0].noRight = true },
+			state:  StateUnknown,
+			ended:  map[string][]bool{"a": {true}},
+		},
+		{
+			name: "cancelled and stopped",
+			change: func(w *world, id uuid.UUID) {
+				_, _ = w.owners[0].j.Cancel(w.t.Context(), id, "team")
+			},
+			state: StateCancelled,
+			ended: map[string][]bool{"a": {true}},
+		},
+		{
+			name: "cancelled and out of reach",
+			change: func(w *world, id uuid.UUID) {
+				w.worker.setAway(true)
+				_, _ = w.owners[0].j.Cancel(w.t.Context(), id, "team")
+			},
+			state: StateCancelled,
+			ended: map[string][]bool{"a": {false}},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, ids := newWorld(t, 2), newIDs(1)
+				w.worker.duration = 30 * time.Second
+				w.members("a")
+				time.Sleep(time.Second)
+				w.submit(w.owners[0], ids[0], request(1))
+				time.Sleep(time.Second)
+				tt.change(w, ids[0])
+				time.Sleep(time.Minute)
+				r := stored(t, w.store, ids[0])[ids[0]]
+				if r.State != tt.state || w.worker.runs[ids[0].String()] != 1 {
+					t.Errorf("%s after %d runs, want %s", r.State, w.worker.runs[ids[0].String()], tt.state)
+				}
+				for _, o := range w.owners {
+					if !slices.Equal(o.ended, tt.ended[o.name]) {
+						t.Errorf("%s released %v, want %v", o.name, o.ended, tt.ended[o.name])
+					}
+					o.j.Close(t.Context())
+				}
+				w.wg.Wait()
+			})
+		})
+	}
+}
+
+// Guards against a start after the right ran out between the placement and the start.
+func TestNoStartWithoutTheRight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, ids := newWorld(t, 1), newIDs(1)
+		o := w.owners[0]
+		o.lapse = true
+		w.members("a")
+		time.Sleep(time.Second)
+		w.submit(o, ids[0], request(1))
+		time.Sleep(30 * time.Second)
+		o.mu.Lock()
+		o.lapse, o.noRight = false, false
+		o.mu.Unlock()
+		w.settle(t, ids)
+		if r := stored(t, w.store, ids[0])[ids[0]]; r.State != StateDone || r.Starts < 2 {
+			t.Errorf("%s after %d starts", r.State, r.Starts)
+		}
+	})
+}
+
 // slowTarget counts the revocations that run at the same time.
 type slowTarget struct {
 	runner.Target
--- a/pkg/journaler/recovery.go
+++ b/pkg/journaler/recovery.go
@@ -50,10 +50,10 @@
 
 // recover brings a started record to an end or back to accepted. The outcome
 // of a non-idempotent request is asked for during RecoveryTimeout.
-func (t *tenure) recover(ctx context.Context, r Record) {
+func (t *tenure) recover(ctx context.Context, r Record, held *allowance) {
 	limit := t.j.cfg.Now().Add(t.j.cfg.RecoveryTimeout)
 	for ctx.Err() == nil {
-		action, err := t.step(ctx, r)
+		action, err := t.step(ctx, r, held)
 		if err == nil {
 			return
 		}
@@ -85,7 +85,7 @@
 
 // step examines the record at its target and carries out the action. With an
 // error the record is still open.
-func (t *tenure) step(ctx context.Context, r Record) (Action, error) {
+func (t *tenure) step(ctx context.Context, r Record, held *allowance) (Action, error) {
 	target, err := t.j.cfg.Targets(r.Target)
 	if err != nil {
 		return ActionUnreachable, err
@@ -94,6 +94,8 @@
 	if err != nil {
 		return action, err
 	}
+	// Every other action follows from a task that has ended or never runs.
+	held.ended = action != ActionAdopt
 	switch action {
 	case ActionNotRun:
 		t.persist(ctx, func(d *Document, _ time.Time) error { return d.NotRun(r.ID, r.Task) })
@@ -102,9 +104,9 @@
 	case ActionUnknown:
 		t.persist(ctx, t.markUnknown(r))
 	case ActionAnswer:
-		return action, t.fetch(ctx, target, r)
+		return action, t.fetch(ctx, target, r, held)
 	case ActionAdopt:
-		return action, t.follow(ctx, target, r)
+		return action, t.follow(ctx, target, r, held)
 	}
 	return action, nil
 }
@@ -145,8 +147,12 @@
 
 // follow adopts a running task and waits for its answer. The task is adopted
 // at the worker first: a record that still names the revoked session is
-// recovered in the same way by the next owner.
-func (t *tenure) follow(ctx context.Context, target runner.Target, r Record) error {
+// recovered in the same way by the next owner. Without allowance here the task
+// is left alone: its session lapses, and a later step finds how it ended.
+func (t *tenure) follow(ctx context.Context, target runner.Target, r Record, held *allowance) error {
+	if err := t.acquire(ctx, r, held); err != nil {
+		return err
+	}
 	session := t.newSession(r.ID)
 	boot, err := t.adopt(ctx, target, r.Task, session)
 	if err != nil {
@@ -155,8 +161,26 @@
 	t.persist(ctx, func(d *Document, _ time.Time) error { return d.Adopt(r.ID, r.Task, session) })
 	renewing, stop := context.WithCancel(ctx)
 	defer stop()
-	t.wg.Go(func() { t.renew(renewing, target, session, boot) })
-	return t.fetch(ctx, target, r)
+	t.wg.Go(func() { t.renew(renewing, target, r.Team, session, boot) })
+	return t.fetch(ctx, target, r, held)
+}
+
+// acquire gets the allowance for a task that is to be adopted, unless the
+// attempt was made here and still has its own.
+func (t *tenure) acquire(ctx context.Context, r Record, held *allowance) error {
+	if !held.held {
+		wait, cancel := context.WithTimeout(ctx, t.j.cfg.SessionTTL)
+		defer cancel()
+		release, err := t.j.cfg.Dispatcher.Acquire(wait, r.job())
+		if err != nil {
+			return err
+		}
+		held.take(release)
+	}
+	if !t.j.cfg.MayUse(r.Team) {
+		return Error.Wrap(runner.ErrNoRight)
+	}
+	return nil
 }
 
 func (t *tenure) adopt(ctx context.Context, target runner.Target, task, session string) (string, error) {
@@ -170,12 +194,12 @@
 }
 
 // fetch waits for the answer of a task and records it.
-func (t *tenure) fetch(ctx context.Context, target runner.Target, r Record) error {
+func (t *tenure) fetch(ctx context.Context, target runner.Target, r Record, held *allowance) error {
 	bounded, cancel := t.untilDeadline(ctx, r)
 	defer cancel()
 	answer, err := target.Answer(bounded, r.Task)
 	if err != nil {
 		return err
 	}
-	return t.complete(ctx, r, answer)
+	return t.complete(ctx, r, answer, held)
 }
--- a/pkg/journaler/run.go
+++ b/pkg/journaler/run.go
@@ -26,7 +26,9 @@
 	Target    runner.Target
 	Pool      string
 	Resources runner.Resources
-	Release   func() // called once, when the attempt is over; may be nil
+	// Release is called once, when the attempt is over; may be nil. With ended false the
+	// task may run on until its session has ended, so it still counts against the limit.
+	Release func(ended bool)
 }
 
 // Dispatcher chooses targets for jobs.
@@ -35,6 +37,28 @@
 	// ctx ends. An error that wraps ErrNeverRuns ends the job; after any other
 	// the job is tried again.
 	Place(ctx context.Context, job Job) (Placement, error)
+	// Acquire acquires allowance of the job's team for a task that was started
+	// elsewhere and is adopted here, and may wait for it until ctx ends. release is
+	// called once, as Placement.Release. After an error the task is not adopted.
+	Acquire(ctx context.Context, job Job) (release func(ended bool), err error)
+}
+
+// allowance is that part of a team's limit under which the task of a record runs here.
+type allowance struct {
+	held    bool
+	release func(ended bool) // may be nil
+	ended   bool             // the task certainly runs no more
+}
+
+func (a *allowance) take(release func(ended bool)) {
+	a.held = true
+	a.release = release
+}
+
+func (a *allowance) end(stopped bool) {
+	if a.release != nil {
+		a.release(a.ended || stopped)
+	}
 }
 
 // Finished is the answer of an application.
@@ -47,7 +71,7 @@
 func isExists(err error) bool { return errors.Is(err, ErrExists) }
 
 // run makes one attempt of an accepted job.
-func (t *tenure) run(ctx context.Context, r Record) {
+func (t *tenure) run(ctx context.Context, r Record, held *allowance) {
 	defer t.delay(r.ID)
 	body, err := t.shard.getBlob(ctx, Blob{
 		Inline: r.BodyInline,
@@ -57,35 +81,38 @@
 	})
 	if err != nil {
 		if errors.Is(err, ErrCorrupt) {
-			t.failWith(VerdictBodyLost)(ctx, r)
+			t.failWith(VerdictBodyLost)(ctx, r, held)
 		}
 		return
 	}
 	p, err := t.place(ctx, r)
 	if err != nil {
 		if errors.Is(err, ErrNeverRuns) {
-			t.failWith(VerdictCannotRun)(ctx, r)
+			t.failWith(VerdictCannotRun)(ctx, r, held)
 		}
 		return
 	}
-	if p.Release != nil {
-		defer p.Release()
-	}
+	held.take(p.Release)
 	a, err := t.begin(ctx, r, p)
 	if err != nil {
+		held.ended = true // nothing was sent
 		return
 	}
-	t.execute(ctx, r, a, p, body)
+	t.execute(ctx, r, a, p, body, held)
 }
 
 func (t *tenure) place(ctx context.Context, r Record) (Placement, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.j.cfg.PlaceTimeout)
 	defer cancel()
-	return t.j.cfg.Dispatcher.Place(ctx, Job{
+	return t.j.cfg.Dispatcher.Place(ctx, r.job())
+}
+
+func (r Record) job() Job {
+	return Job{
 		ID:       r.ID,
 		Request:  r.Request,
 		Failures: r.Failures,
-	})
+	}
 }
 
 // newSession returns a session id that is used once. The session of an attempt
@@ -125,10 +152,15 @@
 }
 
 // execute starts the task of a committed attempt and records how it ended.
-func (t *tenure) execute(ctx context.Context, r Record, a Attempt, p Placement, body []byte) {
+func (t *tenure) execute(ctx context.Context, r Record, a Attempt, p Placement, body []byte, held *allowance) {
+	if !t.j.cfg.MayUse(r.Team) {
+		held.ended = true
+		t.persist(ctx, func(d *Document, _ time.Time) error { return d.NotRun(r.ID, a.Task) })
+		return
+	}
 	renewing, stop := context.WithCancel(ctx)
 	defer stop()
-	t.wg.Go(func() { t.renew(renewing, p.Target, a.Session, a.Boot) })
+	t.wg.Go(func() { t.renew(renewing, p.Target, r.Team, a.Session, a.Boot) })
 	r.State = StateStarted
 	r.Attempt = a
 	bounded, cancel := t.untilDeadline(ctx, r)
@@ -148,13 +180,14 @@
 	}, bytes.NewReader(body))
 	switch {
 	case err == nil:
-		if t.complete(ctx, r, answer) != nil {
-			t.recover(ctx, r)
+		if t.complete(ctx, r, answer, held) != nil {
+			t.recover(ctx, r, held)
 		}
 	case errors.Is(err, runner.ErrNotRun):
+		held.ended = true
 		t.persist(ctx, func(d *Document, _ time.Time) error { return d.NotRun(r.ID, a.Task) })
 	default:
-		t.recover(ctx, r)
+		t.recover(ctx, r, held)
 	}
 }
 
@@ -167,16 +200,17 @@
 
 // complete reads the answer and records it. After an error the answer was not
 // whole and can be fetched again from the worker.
-func (t *tenure) complete(ctx context.Context, r Record, answer *runner.Answer) error {
+func (t *tenure) complete(ctx context.Context, r Record, answer *runner.Answer, held *allowance) error {
 	data, err := io.ReadAll(io.LimitReader(answer.Body, MaxBlobBytes+1))
 	answer.Body.Close()
+	held.ended = held.ended || err == nil && len(data) <= MaxBlobBytes
 	switch {
 	case err != nil:
 		return Error.Wrap(err)
 	case answer.Status >= 500 && r.Deferrable && r.Idempotent:
 		t.persist(ctx, t.retry(r))
 	case len(data) > MaxBlobBytes && r.Deferrable:
-		t.failWith(VerdictResultTooLarge)(ctx, r)
+		t.failWith(VerdictResultTooLarge)(ctx, r, held)
 	default:
 		t.finishJob(ctx, r, Finished{
 			Status:      answer.Status,
@@ -246,8 +280,8 @@
 	return err != nil && EffectOf(err) == EffectNone && errors.Is(err, ErrUnavailable)
 }
 
-func (t *tenure) failWith(verdict Verdict) func(context.Context, Record) {
-	return func(ctx context.Context, r Record) {
+func (t *tenure) failWith(verdict Verdict) func(context.Context, Record, *allowance) {
+	return func(ctx context.Context, r Record, _ *allowance) {
 		t.persist(ctx, func(d *Document, now time.Time) error { return d.Fail(r.ID, verdict, now) })
 	}
 }
@@ -257,14 +291,18 @@
 }
 
 // renew keeps a session open. It stops when the worker no longer knows the
-// session or when the session must have lapsed.
-func (t *tenure) renew(ctx context.Context, target runner.Target, session, boot string) {
+// session or when the session must have lapsed. A right that has run out can
+// come back before then.
+func (t *tenure) renew(ctx context.Context, target runner.Target, team, session, boot string) {
 	last := t.j.cfg.Now()
 	for sleep(ctx, t.j.cfg.RenewInterval) == nil {
 		now := t.j.cfg.Now()
 		if now.Sub(last) >= t.j.cfg.SessionTTL {
 			return
 		}
+		if !t.j.cfg.MayUse(team) {
+			continue
+		}
 		call, cancel := context.WithTimeout(ctx, t.j.cfg.CallTimeout)
 		err := target.RenewSession(call, session, boot, t.j.cfg.SessionTTL)
 		cancel()
