Record a request on the line and its first attempt in one commit

Cause: a non-idempotent request needed two commits before its start, one that accepted it and one that recorded the attempt.

Ruled out: omitting the lookup before the slot, which is one read per request. It keeps repeats of a known identity from waiting for a slot.

Change: Submission carries the attempt, and the dispatcher submits with it. Only later attempts use Start. A submission whose effect is unknown is detached, so that its record ends at once instead of at its deadline.

Conclusion: the first attempt costs one commit before its start.

--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -60,21 +61,29 @@
 	return limiter.TransferAnswer{}, nil
 }
 
-// fixture is one entry daemon's dispatcher with its journal, an emulated worker of
-// 8 slots and a store in memory. It belongs in a synctest bubble.
+// fixture is one entry daemon's dispatcher with its journal, an emulated worker and
+// a store in memory. It belongs in a synctest bubble.
 type fixture struct {
 	*Dispatcher
+	pacer  journaler.Pacer
 	worker *emulator.Worker
 	server *emulator.WorkerServer
 	store  *storer.Memory
-	calls  atomic.Int64 // to the store by the journal
+	reads  atomic.Int64 // of the journal
+	writes atomic.Int64
 	delay  atomic.Int64 // of each of them, in nanoseconds
 }
 
+// newFixture returns a fixture with a worker of 8 slots and a team limit of teamLimit.
 func newFixture(t testing.TB) *fixture {
+	t.Helper()
+	return newSizedFixture(t, emulator.DefaultSlots, teamLimit)
+}
+
+func newSizedFixture(t testing.TB, slots, limit int) *fixture {
 	t.Helper()
 	f := &fixture{store: storer.NewMemory()}
-	f.newWorker(t)
+	f.newWorker(t, slots)
 	id := limiter.HolderID{
 		Entry:       "a",
 		Incarnation: 1,
@@ -87,7 +96,7 @@
 		Holder:      holder,
 		CallTimeout: time.Second,
 	})
-	limits.SetLimits(1, map[string]int{team: teamLimit})
+	limits.SetLimits(1, map[string]int{team: limit})
 	f.newDispatcher(t, holder)
 	journal := f.newJournal(t)
 	f.SetJournal(journal)
@@ -103,15 +112,17 @@
 		f.server.Close() //nolint:errcheck // the test is over
 		synctest.Wait()
 	})
-	f.addTarget()
+	f.addTargets(1 + slots/workerConnections)
 	time.Sleep(5 * time.Second) // takeovers, usage, limits
 	return f
 }
 
-func (f *fixture) newWorker(t testing.TB) {
+func (f *fixture) newWorker(t testing.TB, slots int) {
 	t.Helper()
+	total := emulator.DefaultResources()
+	total.Slots = slots
 	var err error
-	f.worker, err = emulator.NewWorker(emulator.WorkerConfig{Total: emulator.DefaultResources()})
+	f.worker, err = emulator.NewWorker(emulator.WorkerConfig{Total: total})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -176,30 +187,40 @@
 	return journaler.New(journaler.Config{
 		Store: &storer.Faulty{
 			Store: f.store,
-			Before: func(context.Context, storer.Op, string) error {
-				f.calls.Add(1)
+			Before: func(_ context.Context, op storer.Op, _ string) error {
+				if op == storer.OpCompareAndSwap || op == storer.OpDelete {
+					f.writes.Add(1)
+				} else {
+					f.reads.Add(1)
+				}
 				time.Sleep(time.Duration(f.delay.Load()))
 				return nil
 			},
 		},
 		Entry:      "a",
-		Limiter:    &journaler.Pacer{},
+		Limiter:    &f.pacer,
 		Targets:    f.Target,
 		Dispatcher: f.Dispatcher,
 	})
 }
 
-func (f *fixture) addTarget() {
-	f.SetTargets([]lister.VM{{
-		Name:    "vm",
-		Address: "vm:1",
-		State:   lister.StateLive,
-	}}, planner.Fleet{
-		VMs: map[string]planner.VM{"vm": {
+// addTargets makes the worker known under n names, because a target has a limit of connections.
+func (f *fixture) addTargets(n int) {
+	var vms []lister.VM
+	fleet := planner.Fleet{VMs: map[string]planner.VM{}}
+	for i := range n {
+		vm := lister.VM{
+			Name:    fmt.Sprint("vm", i),
+			Address: "vm:1",
+			State:   lister.StateLive,
+		}
+		vms = append(vms, vm)
+		fleet.VMs[vm.Name] = planner.VM{
 			Pool:  "p",
 			State: planner.StateServing,
-		}},
-	})
+		}
+	}
+	f.SetTargets(vms, fleet)
 }
 
 // order sends a non-idempotent request and reads its answer.
--- a/internal/dispatcher/journaled.go
+++ b/internal/dispatcher/journaled.go
@@ -198,31 +198,45 @@
 		session.Release()
 		g.release(ended)
 	}
-	if first {
-		out, err := d.cfg.Journal.Submit(ctx, sub)
-		if err != nil {
-			release(true)
-			return d.journalError(err, false), false
-		}
-		if !out.Fresh {
-			release(true)
-			return d.await(ctx, sub.ID, p.Team), false
-		}
-	}
 	attempt := journaler.Attempt{
 		Task:    id,
 		Target:  g.target.vm.Name,
 		Boot:    session.Boot,
 		Session: session.ID,
 	}
-	if err := d.cfg.Journal.Start(ctx, sub.ID, attempt); err != nil {
+	if refusal := d.recordAttempt(ctx, p, sub, attempt, first); refusal != nil {
 		release(true)
-		d.cfg.Journal.Detach(sub.ID, nil)
-		return d.afterLostStart(ctx, p, err), false
+		return *refusal, false
 	}
 	return d.startOnce(ctx, p, sub, g, id, session, release)
 }
 
+// recordAttempt records the attempt, the first one together with the request. It
+// returns the answer of a request that must not be started here.
+func (d *Dispatcher) recordAttempt(ctx context.Context, p *plan, sub journaler.Submission, attempt journaler.Attempt, first bool) *Result {
+	var result Result
+	if !first {
+		err := d.cfg.Journal.Start(ctx, sub.ID, attempt)
+		if err == nil {
+			return nil
+		}
+		d.cfg.Journal.Detach(sub.ID, nil)
+		result = d.afterLostStart(ctx, p, err)
+		return &result
+	}
+	sub.Attempt = &attempt
+	out, err := d.cfg.Journal.Submit(ctx, sub)
+	switch {
+	case err != nil:
+		result = d.journalError(err, false)
+	case !out.Fresh:
+		result = d.await(ctx, sub.ID, p.Team)
+	default:
+		return nil
+	}
+	return &result
+}
+
 // afterLostStart answers when the start was not recorded here. The task was never
 // sent, so whoever owns the record now finds that it did not run; but a successor
 // may tell a repeat something else, so the record decides.
--- a/pkg/journaler/harness_test.go
+++ b/pkg/journaler/harness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -62,6 +63,8 @@
 	claims map[uuid.UUID]int // submissions that may have been accepted
 	fresh  map[uuid.UUID]bool
 	wg     sync.WaitGroup
+
+	attempts atomic.Int64 // by callers on the line
 }
 
 // owner is one entry daemon.
--- a/pkg/journaler/holder.go
+++ b/pkg/journaler/holder.go
@@ -275,7 +275,7 @@
 	t.notBefore[id] = t.j.cfg.Now().Add(t.j.cfg.PlaceDelay)
 }
 
-// accept stores the body and the record of a new request.
+// accept stores the body and the record of a new request, with its attempt if it has one.
 func (t *tenure) accept(ctx context.Context, sub Submission) (Outcome, error) {
 	body := inlineBlob(sub.Body)
 	body.Inline = nil
@@ -293,6 +293,12 @@
 			r = d.Records[sub.ID]
 			return err
 		}
+		if sub.Attempt != nil {
+			if err := d.Start(sub.ID, *sub.Attempt); err != nil {
+				d.remove(sub.ID)
+				return err
+			}
+		}
 		r = d.Records[sub.ID]
 		if !sub.Request.Deferrable {
 			// The mark precedes the commit: a scan would take the record for one without a caller.
@@ -315,6 +321,9 @@
 		if r.State != "" && isExists(err) {
 			return repeat(r, sub)
 		}
+	} else {
+		// The record may exist, but the caller of a failed submission does not run it.
+		t.detach(sub.ID, nil)
 	}
 	return Outcome{}, err
 }
--- a/pkg/journaler/journal.go
+++ b/pkg/journaler/journal.go
@@ -170,6 +170,9 @@
 	ID      uuid.UUID
 	Request Request
 	Body    []byte // at most MaxBlobBytes
+	// Attempt is the first attempt of a request on the line; nil leaves it to Start.
+	// One commit then records both, and the caller may start the task of a fresh request.
+	Attempt *Attempt
 }
 
 // Outcome is what the journal knows of an identity.
--- a/pkg/journaler/journal_test.go
+++ b/pkg/journaler/journal_test.go
@@ -19,8 +19,17 @@
 // submit sends a request to an owner and, on the line, runs it there.
 func (w *world) submit(o *owner, id uuid.UUID, req Request) {
 	w.wg.Go(func() {
-		body := []byte(strings.Repeat(id.String(), 1+int(id[15]%3)*20))
-		out, err := o.j.Submit(context.Background(), Submission{ID: id, Request: req, Body: body})
+		sub := Submission{
+			ID:      id,
+			Request: req,
+			Body:    []byte(strings.Repeat(id.String(), 1+int(id[15]%3)*20)),
+		}
+		if id[15]%2 == 0 && !req.Deferrable {
+			if sub.Attempt = w.attempt(o, id); sub.Attempt == nil {
+				return
+			}
+		}
+		out, err := o.j.Submit(context.Background(), sub)
 		w.mu.Lock()
 		if EffectOf(err) != EffectNone {
 			w.claims[id]++
@@ -33,35 +42,57 @@
 		}
 		w.mu.Unlock()
 		if out.Fresh && !req.Deferrable {
-			w.online(o, id, body)
+			w.online(o, sub)
 		}
 	})
 }
 
+// attempt opens a session for a new attempt; nil when the worker is out of reach.
+func (w *world) attempt(o *owner, id uuid.UUID) *Attempt {
+	task := fmt.Sprintf("%s.%s%d", id, o.name, w.attempts.Add(1))
+	target, _ := o.j.cfg.Targets("w")
+	boot, err := target.OpenSession(context.Background(), task, 10*time.Second)
+	if err != nil {
+		return nil
+	}
+	return &Attempt{
+		Task:    task,
+		Target:  "w",
+		Boot:    boot,
+		Session: task,
+	}
+}
+
 // online acts as the dispatcher of requests whose caller is on the line.
-func (w *world) online(o *owner, id uuid.UUID, body []byte) {
+func (w *world) online(o *owner, sub Submission) {
+	id, a := sub.ID, sub.Attempt
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	defer o.j.Detach(id, nil)
-	target, _ := o.j.cfg.Targets("w")
-	task := id.String() + ".1"
-	boot, err := target.OpenSession(ctx, task, 10*time.Second)
-	if err != nil {
-		return
-	}
-	if o.j.Start(ctx, id, Attempt{Task: task, Target: "w", Boot: boot, Session: task}) != nil {
-		return
+	if a == nil {
+		if a = w.attempt(o, id); a == nil || o.j.Start(ctx, id, *a) != nil {
+			return
+		}
 	}
-	answer, err := target.Start(ctx, runner.Task{ID: task, Session: task, Boot: boot, Identity: id.String()}, bytes.NewReader(body))
+	target, _ := o.j.cfg.Targets("w")
+	answer, err := target.Start(ctx, runner.Task{
+		ID:       a.Task,
+		Session:  a.Session,
+		Boot:     a.Boot,
+		Identity: id.String(),
+	}, bytes.NewReader(sub.Body))
 	switch {
 	case errors.Is(err, runner.ErrNotRun):
-		_ = o.j.NotRun(ctx, id, task)
+		_ = o.j.NotRun(ctx, id, a.Task)
 	case err != nil:
 		return // left to recovery
 	default:
 		data := new(bytes.Buffer)
 		if _, err := data.ReadFrom(answer.Body); err == nil {
-			_ = o.j.Finish(ctx, id, task, Finished{Status: answer.Status, Data: data.Bytes()})
+			_ = o.j.Finish(ctx, id, a.Task, Finished{
+				Status: answer.Status,
+				Data:   data.Bytes(),
+			})
 		}
 	}
 }
--- a/pkg/journaler/limits_test.go
+++ b/pkg/journaler/limits_test.go
@@ -210,6 +210,39 @@
 	}
 }
 
+// Guards against a record without a runner that stays open until its deadline: the
+// caller gave up while the commit was under way.
+func TestAbandonedSubmissionEnds(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w, ids := newWorld(t, 1), newIDs(1)
+			o := w.owners[0]
+			w.members("a")
+			time.Sleep(time.Second)
+			sub := Submission{
+				ID:      ids[0],
+				Request: request(0),
+			}
+			if started {
+				sub.Attempt = w.attempt(o, ids[0])
+			}
+			o.set(true)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			if _, err := o.j.Submit(ctx, sub); EffectOf(err) != EffectUnknown {
+				t.Errorf("submission: %v", err)
+			}
+			o.set(false)
+			time.Sleep(5 * time.Second)
+			if r := stored(t, w.store, ids[0])[ids[0]]; r.Verdict != VerdictCallerLost || r.Ran || r.Starts > 0 != started {
+				t.Errorf("%s %q, ran %t, %d starts", r.State, r.Verdict, r.Ran, r.Starts)
+			}
+			o.j.Close(t.Context())
+			w.wg.Wait()
+		})
+	}
+}
+
 // Guards against a start after the right ran out between the placement and the start.
 func TestNoStartWithoutTheRight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
