Withdraw the record of a request that was refused for lack of room

Cause: when a worker had refused the first start of a request on the line and no slot came free, the dispatcher ended its record as failed. Every repeat with the same identity then got the old refusal for at least 10 minutes.

The record must precede the start.

Change: Document.Withdraw removes an accepted record that never ran. Callers that wait for it get "not run" (ErrWithdrawn). The scan leaves a record on the line to its caller for RecoveryTimeout after the deadline, also when it is accepted; otherwise it failed the record at the deadline before the caller could withdraw it.

Conclusion: a refusal for lack of room leaves the identity unused.

--- a/internal/dispatcher/journaled.go
+++ b/internal/dispatcher/journaled.go
@@ -130,6 +130,9 @@
 // await waits for the end of a record and returns its result.
 func (d *Dispatcher) await(ctx context.Context, id uuid.UUID, team string) Result {
 	r, err := d.cfg.Journal.Wait(ctx, id, team)
+	if errors.Is(err, journaler.ErrWithdrawn) {
+		return NotRun(ReasonNoTarget, "the request was refused before it was started")
+	}
 	if err != nil && (r.State == "" || ctx.Err() == nil) {
 		return Unknown(ReasonPeerLost, err.Error())
 	}
@@ -144,7 +147,7 @@
 	for refused := 0; ; refused++ {
 		g, err := p.pool.acquire(ctx, p.Team, p.queue.Class, p.need, p.Deadline)
 		if err != nil {
-			return d.unstarted(ctx, p, sub, refused, err)
+			return d.unstarted(ctx, sub, refused, err)
 		}
 		if refused == 0 {
 			d.cfg.Recorder.Wait(p.Team, string(p.queue.Class), time.Since(start))
@@ -154,24 +157,25 @@
 			return result
 		}
 		if refused+1 >= maxRefusedStarts || !sleep(ctx, d.delay(refused+1)) {
-			return d.unstarted(ctx, p, sub, refused+1, runner.ErrNotRun)
+			return d.unstarted(ctx, sub, refused+1, runner.ErrNotRun)
 		}
 	}
 }
 
-// unstarted ends a request that found no slot. After a first try the identity has
-// a record, which must say the same as the answer.
-func (d *Dispatcher) unstarted(ctx context.Context, p *plan, sub journaler.Submission, tries int, err error) Result {
+// unstarted refuses a request that found no slot. After a first try the identity has
+// a record, which would answer every repeat with this refusal, so it is withdrawn. If
+// that fails, the journal ends the record as not run.
+func (d *Dispatcher) unstarted(ctx context.Context, sub journaler.Submission, tries int, err error) Result {
 	refusal := NotRun(refusalReason(err), err.Error())
 	if tries == 0 {
 		return refusal
 	}
-	d.cfg.Journal.Detach(sub.ID, nil)
 	life, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
-	if err := d.cfg.Journal.Fail(life, sub.ID, journaler.Verdict(refusal.Reason)); err != nil {
-		return d.await(life, sub.ID, p.Team)
+	if err := d.cfg.Journal.Withdraw(life, sub.ID); err != nil {
+		d.cfg.Logger.Warn("record of a refused request not withdrawn", "error", err)
 	}
+	d.cfg.Journal.Detach(sub.ID, nil)
 	return refusal
 }
 
--- a/pkg/journaler/document_test.go
+++ b/pkg/journaler/document_test.go
@@ -73,9 +73,11 @@
 		"fail":    func(d *Document, id uuid.UUID) error { return d.Fail(id, "v", baseTime) },
 		"cancel":  func(d *Document, id uuid.UUID) error { return d.Cancel(id, "a", baseTime) },
 		"unknown": func(d *Document, id uuid.UUID) error { return d.MarkUnknown(id, "t", baseTime) },
+
+		"withdraw": func(d *Document, id uuid.UUID) error { return d.Withdraw(id) },
 	}
 	legal := map[State]string{
-		StateAccepted: "start fail cancel",
+		StateAccepted: "start fail cancel withdraw",
 		StateStarted:  "adopt not_run finish fail cancel unknown",
 	}
 	for _, state := range []State{StateAccepted, StateStarted, StateDone, StateFailed, StateCancelled, StateUnknown} {
@@ -90,6 +92,10 @@
 		}
 	}
 	d, id := docIn(t, StateStarted, true)
+	if err := errors.Join(d.Retry(id, "t", 4, baseTime), d.Withdraw(id)); !errors.Is(err, ErrIllegal) {
+		t.Errorf("withdrawal after a run: %v", err)
+	}
+	d, id = docIn(t, StateStarted, true)
 	if err := d.Finish(id, "other", Result{}, baseTime); !errors.Is(err, ErrWrongTask) {
 		t.Errorf("finish of a former attempt: %v", err)
 	}
@@ -248,6 +254,10 @@
 // Guards against dropping a record before its keys are deleted, or too early.
 func TestExpireKeepsRecordsWithinRetention(t *testing.T) {
 	d, id := docIn(t, StateStarted, true)
+	if err := errors.Join(d.Retry(id, "t", 4, baseTime), d.Withdraw(id)); !errors.Is(err, ErrIllegal) {
+		t.Errorf("withdrawal after a run: %v", err)
+	}
+	d, id = docIn(t, StateStarted, true)
 	if err := d.Finish(id, "t", Result{Key: "k"}, baseTime.Add(5*time.Minute)); err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/journaler/errors.go
+++ b/pkg/journaler/errors.go
@@ -22,6 +22,8 @@
 var (
 	// ErrNotFound means that the shard has no record of the identity.
 	ErrNotFound = errors.New("identity not found")
+	// ErrWithdrawn means that the record was removed because its request was refused as not run.
+	ErrWithdrawn = errors.New("request withdrawn")
 	// ErrExists means that the shard already has a record of the identity.
 	ErrExists = errors.New("identity exists")
 	// ErrIllegal means that the record's state does not allow the transition.
--- a/pkg/journaler/holder.go
+++ b/pkg/journaler/holder.go
@@ -181,10 +181,10 @@
 		waiting := now.Before(t.notBefore[r.ID])
 		t.mu.Unlock()
 		overdue := now.UnixMilli() >= r.DeadlineMS
-		// A caller on the line has RecoveryTimeout to record how its attempt ended.
+		// A caller on the line has RecoveryTimeout to record how its request ended.
 		settling := now.Add(-t.j.cfg.RecoveryTimeout).UnixMilli() < r.DeadlineMS
 		switch {
-		case busy, online && !overdue, online && settling && r.State == StateStarted:
+		case busy, online && settling:
 		case r.State == StateStarted:
 			t.spawn(ctx, r, nil, t.recover)
 		case overdue:
--- a/pkg/journaler/journal.go
+++ b/pkg/journaler/journal.go
@@ -224,7 +224,7 @@
 }
 
 // Wait returns the record once it is final. When ctx ends first it returns the
-// last state together with the error.
+// last state together with the error. ErrWithdrawn proves that the request did not run.
 func (j *Journal) Wait(ctx context.Context, id uuid.UUID, team string) (Record, error) {
 	if r, err := j.Lookup(ctx, id, team); err != nil || r.State.Final() {
 		return r, err
@@ -233,7 +233,11 @@
 	if err != nil {
 		return Record{}, err
 	}
-	return t.shard.Wait(ctx, id)
+	r, err := t.shard.Wait(ctx, id)
+	if errors.Is(err, ErrNotFound) { // it was open before, and open records do not expire
+		return Record{}, Error.Wrap(ErrWithdrawn)
+	}
+	return r, err
 }
 
 // Data returns the kept result of a record in state done.
@@ -293,9 +297,10 @@
 	return j.change(ctx, id, func(d *Document, _ time.Time) error { return d.NotRun(id, task) })
 }
 
-// Fail ends a request on the line that did not run.
-func (j *Journal) Fail(ctx context.Context, id uuid.UUID, verdict Verdict) error {
-	return j.change(ctx, id, func(d *Document, now time.Time) error { return d.Fail(id, verdict, now) })
+// Withdraw removes the record of a request on the line that is refused as not run.
+// Its caller may repeat it with the same identity.
+func (j *Journal) Withdraw(ctx context.Context, id uuid.UUID) error {
+	return j.change(ctx, id, func(d *Document, _ time.Time) error { return d.Withdraw(id) })
 }
 
 // MarkUnknown ends a request on the line whose outcome cannot be learned.
--- a/pkg/journaler/journal_test.go
+++ b/pkg/journaler/journal_test.go
@@ -83,7 +83,12 @@
 	}, bytes.NewReader(sub.Body))
 	switch {
 	case errors.Is(err, runner.ErrNotRun):
-		_ = o.j.NotRun(ctx, id, a.Task)
+		if o.j.NotRun(ctx, id, a.Task) == nil {
+			w.mu.Lock()
+			w.fresh[id] = false // from now on a repeat may be fresh
+			w.mu.Unlock()
+			_ = o.j.Withdraw(ctx, id)
+		}
 	case err != nil:
 		return // left to recovery
 	default:
--- a/pkg/journaler/transition.go
+++ b/pkg/journaler/transition.go
@@ -82,6 +82,24 @@
 	return nil
 }
 
+// Withdraw removes an accepted record that has certainly not run, so that its
+// identity can be used again.
+func (d *Document) Withdraw(id uuid.UUID) error {
+	r, err := d.in(id, "withdraw", StateAccepted)
+	if err != nil {
+		return err
+	}
+	if r.Failures > 0 {
+		return &StateError{
+			Identity:   id,
+			Transition: "withdraw",
+			State:      r.State,
+		}
+	}
+	d.remove(id)
+	return nil
+}
+
 // Retry returns an idempotent record to accepted although the task may have
 // run. After maxAttempts such attempts the record fails instead.
 func (d *Document) Retry(id uuid.UUID, task string, maxAttempts int, now time.Time) error {
