--- a/internal/dispatcher/journaled.go
+++ b/internal/dispatcher/journaled.go
@@ -122,7 +122,7 @@
 		return d.journalError(err, false)
 	}
 	if out.Fresh { // the record has just expired
-		d.cfg.Journal.Detach(sub.ID)
+		d.cfg.Journal.Detach(sub.ID, nil)
 	}
 	return d.await(ctx, sub.ID, sub.Request.Team)
 }
@@ -130,6 +130,9 @@
 // await waits for the end of a record and returns its result.
 func (d *Dispatcher) await(ctx context.Context, id uuid.UUID, team string) Result {
 	r, err := d.cfg.Journal.Wait(ctx, id, team)
+	if errors.Is(err, journaler.ErrWithdrawn) {
+		return NotRun(ReasonNoTarget, "the request was refused before it was started")
+	}
 	if err != nil && (r.State == "" || ctx.Err() == nil) {
 		return Unknown(ReasonPeerLost, err.Error())
 	}
@@ -144,7 +147,7 @@
 	for refused := 0; ; refused++ {
 		g, err := p.pool.acquire(ctx, p.Team, p.queue.Class, p.need, p.Deadline)
 		if err != nil {
-			return d.unstarted(ctx, p, sub, refused, err)
+			return d.unstarted(ctx, sub, refused, err)
 		}
 		if refused == 0 {
 			d.cfg.Recorder.Wait(p.Team, string(p.queue.Class), time.Since(start))
@@ -154,24 +157,25 @@
 			return result
 		}
 		if refused+1 >= maxRefusedStarts || !sleep(ctx, d.delay(refused+1)) {
-			return d.unstarted(ctx, p, sub, refused+1, runner.ErrNotRun)
+			return d.unstarted(ctx, sub, refused+1, runner.ErrNotRun)
 		}
 	}
 }
 
-// unstarted ends a request that found no slot. After a first try the identity has
-// a record, which must say the same as the answer.
-func (d *Dispatcher) unstarted(ctx context.Context, p *plan, sub journaler.Submission, tries int, err error) Result {
+// unstarted refuses a request that found no slot. After a first try the identity has
+// a record, which would answer every repeat with this refusal, so it is withdrawn. If
+// that fails, the journal ends the record as not run.
+func (d *Dispatcher) unstarted(ctx context.Context, sub journaler.Submission, tries int, err error) Result {
 	refusal := NotRun(refusalReason(err), err.Error())
 	if tries == 0 {
 		return refusal
 	}
-	d.cfg.Journal.Detach(sub.ID)
 	life, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
-	if err := d.cfg.Journal.Fail(life, sub.ID, journaler.Verdict(refusal.Reason)); err != nil {
-		return d.await(life, sub.ID, p.Team)
+	if err := d.cfg.Journal.Withdraw(life, sub.ID); err != nil {
+		d.cfg.Logger.Warn("record of a refused request not withdrawn", "error", err)
 	}
+	d.cfg.Journal.Detach(sub.ID, nil)
 	return refusal
 }
 
@@ -198,31 +202,45 @@
 		session.Release()
 		g.release(ended)
 	}
-	if first {
-		out, err := d.cfg.Journal.Submit(ctx, sub)
-		if err != nil {
-			release(true)
-			return d.journalError(err, false), false
-		}
-		if !out.Fresh {
-			release(true)
-			return d.await(ctx, sub.ID, p.Team), false
-		}
-	}
 	attempt := journaler.Attempt{
 		Task:    id,
 		Target:  g.target.vm.Name,
 		Boot:    session.Boot,
 		Session: session.ID,
 	}
-	if err := d.cfg.Journal.Start(ctx, sub.ID, attempt); err != nil {
+	if refusal := d.recordAttempt(ctx, p, sub, attempt, first); refusal != nil {
 		release(true)
-		d.cfg.Journal.Detach(sub.ID)
-		return d.afterLostStart(ctx, p, err), false
+		return *refusal, false
 	}
 	return d.startOnce(ctx, p, sub, g, id, session, release)
 }
 
+// recordAttempt records the attempt, the first one together with the request. It
+// returns the answer of a request that must not be started here.
+func (d *Dispatcher) recordAttempt(ctx context.Context, p *plan, sub journaler.Submission, attempt journaler.Attempt, first bool) *Result {
+	var result Result
+	if !first {
+		err := d.cfg.Journal.Start(ctx, sub.ID, attempt)
+		if err == nil {
+			return nil
+		}
+		d.cfg.Journal.Detach(sub.ID, nil)
+		result = d.afterLostStart(ctx, p, err)
+		return &result
+	}
+	sub.Attempt = &attempt
+	out, err := d.cfg.Journal.Submit(ctx, sub)
+	switch {
+	case err != nil:
+		result = d.journalError(err, false)
+	case !out.Fresh:
+		result = d.await(ctx, sub.ID, p.Team)
+	default:
+		return nil
+	}
+	return &result
+}
+
 // afterLostStart answers when the start was not recorded here. The task was never
 // sent, so whoever owns the record now finds that it did not run; but a successor
 // may tell a repeat something else, so the record decides.
@@ -239,7 +257,7 @@
 func (d *Dispatcher) startOnce(ctx context.Context, p *plan, sub journaler.Submission, g *grant, id string, session *runner.Session, release func(bool)) (Result, bool) {
 	// The request goes on when its caller is gone: the caller may repeat it.
 	life, cancel := context.WithDeadline(context.WithoutCancel(ctx), p.Deadline)
-	answer, err := g.target.client.Start(life, d.task(p, id, session.ID), bytes.NewReader(sub.Body))
+	answer, err := g.target.client.Start(life, d.task(p, id, session), bytes.NewReader(sub.Body))
 	d.cfg.Recorder.Attempt(p.pool.name, attemptResult(err))
 	if err == nil {
 		p.pool.record(g.target, answer.Status < http.StatusInternalServerError)
@@ -255,8 +273,7 @@
 		return Result{}, true
 	}
 	p.pool.record(g.target, false)
-	release(false)
-	d.cfg.Journal.Detach(sub.ID)
+	d.cfg.Journal.Detach(sub.ID, release)
 	return d.await(ctx, sub.ID, p.Team), false
 }
 
@@ -267,8 +284,7 @@
 	head, err := io.ReadAll(io.LimitReader(answer.Body, journaler.MaxBlobBytes+1))
 	if err != nil {
 		_ = answer.Body.Close()
-		release(false)
-		d.cfg.Journal.Detach(sub.ID)
+		d.cfg.Journal.Detach(sub.ID, release)
 		return d.await(ctx, sub.ID, sub.Request.Team)
 	}
 	if err := d.cfg.Journal.Finish(ctx, sub.ID, id, journaler.Finished{
@@ -278,7 +294,7 @@
 	}); err != nil {
 		d.cfg.Logger.Warn("answer not recorded", "error", err)
 	}
-	d.cfg.Journal.Detach(sub.ID)
+	d.cfg.Journal.Detach(sub.ID, nil)
 	body := &answerBody{ReadCloser: answer.Body}
 	return Result{
 		Outcome:     OutcomeDone,
--- a/pkg/journaler/journal.go
+++ b/pkg/journaler/journal.go
@@ -22,8 +22,11 @@
 	Limiter    Limiter
 	Targets    func(name string) (runner.Target, error) // finds a recorded target again
 	Dispatcher Dispatcher
-	Now        func() time.Time // default time.Now
-	Logger     hclog.Logger     // default: none
+	// MayUse reports whether this entry daemon may start and renew work of a team now;
+	// it must not block. Default: always.
+	MayUse func(team string) bool
+	Now    func() time.Time // default time.Now
+	Logger hclog.Logger     // default: none
 
 	CallTimeout     time.Duration // of one call to the store or of one short call to a target; default 2 s
 	RetryDelay      time.Duration // after a failed call; default 100 ms
@@ -41,6 +44,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.MayUse == nil {
+		c.MayUse = func(string) bool { return true }
+	}
 	if c.Logger == nil {
 		c.Logger = hclog.NewNullLogger()
 	}
@@ -164,6 +170,9 @@
 	ID      uuid.UUID
 	Request Request
 	Body    []byte // at most MaxBlobBytes
+	// Attempt is the first attempt of a request on the line; nil leaves it to Start.
+	// One commit then records both, and the caller may start the task of a fresh request.
+	Attempt *Attempt
 }
 
 // Outcome is what the journal knows of an identity.
@@ -215,7 +224,7 @@
 }
 
 // Wait returns the record once it is final. When ctx ends first it returns the
-// last state together with the error.
+// last state together with the error. ErrWithdrawn proves that the request did not run.
 func (j *Journal) Wait(ctx context.Context, id uuid.UUID, team string) (Record, error) {
 	if r, err := j.Lookup(ctx, id, team); err != nil || r.State.Final() {
 		return r, err
@@ -224,7 +233,11 @@
 	if err != nil {
 		return Record{}, err
 	}
-	return t.shard.Wait(ctx, id)
+	r, err := t.shard.Wait(ctx, id)
+	if errors.Is(err, ErrNotFound) { // it was open before, and open records do not expire
+		return Record{}, Error.Wrap(ErrWithdrawn)
+	}
+	return r, err
 }
 
 // Data returns the kept result of a record in state done.
@@ -261,14 +274,16 @@
 // Detach says that the caller of a fresh request on the line no longer runs
 // it. A record that is still open is then ended by the journal: an accepted one
 // as not run, a started one by recovery. Every fresh request needs one Detach.
-func (j *Journal) Detach(id uuid.UUID) {
+//
+// If the task may still run, release hands over the allowance under which it was
+// started, as Placement.Release does; otherwise it is nil.
+func (j *Journal) Detach(id uuid.UUID, release func(ended bool)) {
 	t, err := j.tenure(id)
-	if err != nil {
-		return // the next tenure finds no caller for the record
+	if err == nil {
+		t.detach(id, release)
+	} else if release != nil {
+		release(false) // the next tenure finds no caller for the record
 	}
-	t.mu.Lock()
-	delete(t.online, id)
-	t.mu.Unlock()
 }
 
 // Start records an attempt of a request on the line. Only after it returned
@@ -282,9 +297,10 @@
 	return j.change(ctx, id, func(d *Document, _ time.Time) error { return d.NotRun(id, task) })
 }
 
-// Fail ends a request on the line that did not run.
-func (j *Journal) Fail(ctx context.Context, id uuid.UUID, verdict Verdict) error {
-	return j.change(ctx, id, func(d *Document, now time.Time) error { return d.Fail(id, verdict, now) })
+// Withdraw removes the record of a request on the line that is refused as not run.
+// Its caller may repeat it with the same identity.
+func (j *Journal) Withdraw(ctx context.Context, id uuid.UUID) error {
+	return j.change(ctx, id, func(d *Document, _ time.Time) error { return d.Withdraw(id) })
 }
 
 // MarkUnknown ends a request on the line whose outcome cannot be learned.
--- a/pkg/journaler/journal_test.go
+++ b/pkg/journaler/journal_test.go
@@ -19,8 +19,17 @@
 // submit sends a request to an owner and, on the line, runs it there.
 func (w *world) submit(o *owner, id uuid.UUID, req Request) {
 	w.wg.Go(func() {
-		body := []byte(strings.Repeat(id.String(), 1+int(id[15]%3)*20))
-		out, err := o.j.Submit(context.Background(), Submission{ID: id, Request: req, Body: body})
+		sub := Submission{
+			ID:      id,
+			Request: req,
+			Body:    []byte(strings.Repeat(id.String(), 1+int(id[15]%3)*20)),
+		}
+		if id[15]%2 == 0 && !req.Deferrable {
+			if sub.Attempt = w.attempt(o, id); sub.Attempt == nil {
+				return
+			}
+		}
+		out, err := o.j.Submit(context.Background(), sub)
 		w.mu.Lock()
 		if EffectOf(err) != EffectNone {
 			w.claims[id]++
@@ -33,35 +42,62 @@
 		}
 		w.mu.Unlock()
 		if out.Fresh && !req.Deferrable {
-			w.online(o, id, body)
+			w.online(o, sub)
 		}
 	})
 }
 
-// online acts as the dispatcher of requests whose caller is on the line.
-func (w *world) online(o *owner, id uuid.UUID, body []byte) {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
-	defer o.j.Detach(id)
+// attempt opens a session for a new attempt; nil when the worker is out of reach.
+func (w *world) attempt(o *owner, id uuid.UUID) *Attempt {
+	task := fmt.Sprintf("%s.%s%d", id, o.name, w.attempts.Add(1))
 	target, _ := o.j.cfg.Targets("w")
-	task := id.String() + ".1"
-	boot, err := target.OpenSession(ctx, task, 10*time.Second)
+	boot, err := target.OpenSession(context.Background(), task, 10*time.Second)
 	if err != nil {
-		return
+		return nil
 	}
-	if o.j.Start(ctx, id, Attempt{Task: task, Target: "w", Boot: boot, Session: task}) != nil {
-		return
+	return &Attempt{
+		Task:    task,
+		Target:  "w",
+		Boot:    boot,
+		Session: task,
+	}
+}
+
+// online acts as the dispatcher of requests whose caller is on the line.
+func (w *world) online(o *owner, sub Submission) {
+	id, a := sub.ID, sub.Attempt
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	defer o.j.Detach(id, nil)
+	if a == nil {
+		if a = w.attempt(o, id); a == nil || o.j.Start(ctx, id, *a) != nil {
+			return
+		}
 	}
-	answer, err := target.Start(ctx, runner.Task{ID: task, Session: task, Identity: id.String()}, bytes.NewReader(body))
+	target, _ := o.j.cfg.Targets("w")
+	answer, err := target.Start(ctx, runner.Task{
+		ID:       a.Task,
+		Session:  a.Session,
+		Boot:     a.Boot,
+		Identity: id.String(),
+	}, bytes.NewReader(sub.Body))
 	switch {
 	case errors.Is(err, runner.ErrNotRun):
-		_ = o.j.NotRun(ctx, id, task)
+		if o.j.NotRun(ctx, id, a.Task) == nil {
+			w.mu.Lock()
+			w.fresh[id] = false // from now on a repeat may be fresh
+			w.mu.Unlock()
+			_ = o.j.Withdraw(ctx, id)
+		}
 	case err != nil:
 		return // left to recovery
 	default:
 		data := new(bytes.Buffer)
 		if _, err := data.ReadFrom(answer.Body); err == nil {
-			_ = o.j.Finish(ctx, id, task, Finished{Status: answer.Status, Data: data.Bytes()})
+			_ = o.j.Finish(ctx, id, a.Task, Finished{
+				Status: answer.Status,
+				Data:   data.Bytes(),
+			})
 		}
 	}
 }
@@ -79,9 +115,7 @@
 // settle ends all faults, gives the shards to the last owner and checks every guarantee.
 func (w *world) settle(t testing.TB, ids []uuid.UUID) {
 	time.Sleep(10 * time.Second)
-	w.worker.mu.Lock()
-	w.worker.away = false
-	w.worker.mu.Unlock()
+	w.worker.setAway(false)
 	last := w.owners[len(w.owners)-1]
 	for _, o := range w.owners {
 		o.mu.Lock()
@@ -94,6 +128,9 @@
 	for _, id := range ids {
 		w.verify(t, last, id)
 	}
+	if limit := len(w.owners) * ownerAllowance; w.worker.peak > limit {
+		t.Errorf("%d jobs ran at the same time, want at most %d", w.worker.peak, limit)
+	}
 	for _, o := range w.owners {
 		o.j.Close(context.Background())
 	}
@@ -165,9 +202,7 @@
 	case 4, 5:
 		o.set(a.Kind == 4)
 	case 6:
-		o.mu.Lock()
-		o.down = !o.down
-		o.mu.Unlock()
+		o.toggle()
 	case 7:
 		o.mu.Lock()
 		o.lost += a.N
@@ -289,6 +324,20 @@
 			w.worker.away = true
 			r.DeadlineMS = time.Now().Add(20 * time.Second).UnixMilli()
 		}, want: VerdictDeadlineExceeded},
+		{
+			// The sessions that are opened before the store is back lapse without a start.
+			name: "store down for longer than a session lives",
+			change: func(w *world, _ *Request) {
+				w.worker.away = true
+				time.AfterFunc(500*time.Millisecond, func() {
+					w.owners[0].toggle()
+					w.worker.setAway(false)
+					time.Sleep(20 * time.Second)
+					w.owners[0].toggle()
+				})
+			},
+			runs: 1,
+		},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/pkg/journaler/limits_test.go
+++ b/pkg/journaler/limits_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/comfreyford/comfreyford/pkg/runner"
 )
 
@@ -90,6 +93,176 @@
 	}
 }
 
+// Guards against a late start that runs after a successor has proved "not run":
+// the worker restarts, forgets the revocation and hears of the session again.
+func TestLateStartAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, ids := newWorld(t, 2), newIDs(1)
+		dispatcher := w.owners[0].j.cfg.Dispatcher.(*placer)
+		late := &delayed{
+			Target: dispatcher.target,
+			until:  make(chan struct{}),
+		}
+		dispatcher.target = late
+		w.members("a")
+		time.Sleep(time.Second)
+		w.submit(w.owners[0], ids[0], request(1))
+		time.Sleep(time.Second)
+		w.owners[0].set(true)
+		w.owners[1].j.SetMembers(t.Context(), []string{"b"})
+		time.Sleep(6 * time.Second) // the successor has run the job
+		w.worker.restart()
+		w.owners[0].set(false) // the waiting renewal arrives, and then the start
+		time.Sleep(100 * time.Millisecond)
+		close(late.until)
+		w.settle(t, ids)
+	})
+}
+
+// Guards against work beyond the limit of a team: allowance that is given back
+// while the task may run, tasks that are adopted without allowance, and sessions
+// that are renewed without the right to.
+func TestTasksCountAgainstTheLimit(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(w *world, id uuid.UUID)
+		state  State
+		ended  map[string][]bool // releases by owner
+	}{
+		{
+			name:   "undisturbed",
+			change: func(*world, uuid.UUID) {},
+			state:  StateDone,
+			ended:  map[string][]bool{"a": {true}},
+		},
+		{
+			name:   "adopted with allowance",
+			change: func(w *world, _ uuid.UUID) { w.members("b") },
+			state:  StateDone,
+			ended:  map[string][]bool{"a": {false}, "b": {true}},
+		},
+		{
+			name: "not adopted without allowance",
+			change: func(w *world, _ uuid.UUID) {
+				w.owners[1].free = 0
+				w.members("b")
+			},
+			state: StateUnknown,
+			ended: map[string][]bool{"a": {false}},
+		},
+		{
+			name: "not adopted without the right",
+			change: func(w *world, _ uuid.UUID) {
+				w.owners[1].noRight = true
+				w.members("b")
+			},
+			state: StateUnknown,
+			ended: map[string][]bool{"a": {false}, "b": {true}},
+		},
+		{
+			name:   "right ran out",
+			change: func(w *world, _ uuid.UUID) { w.owners[0].noRight = true },
+			state:  StateUnknown,
+			ended:  map[string][]bool{"a": {true}},
+		},
+		{
+			name: "cancelled and stopped",
+			change: func(w *world, id uuid.UUID) {
+				_, _ = w.owners[0].j.Cancel(w.t.Context(), id, "team")
+			},
+			state: StateCancelled,
+			ended: map[string][]bool{"a": {true}},
+		},
+		{
+			name: "cancelled and out of reach",
+			change: func(w *world, id uuid.UUID) {
+				w.worker.setAway(true)
+				_, _ = w.owners[0].j.Cancel(w.t.Context(), id, "team")
+			},
+			state: StateCancelled,
+			ended: map[string][]bool{"a": {false}},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, ids := newWorld(t, 2), newIDs(1)
+				w.worker.duration = 30 * time.Second
+				w.members("a")
+				time.Sleep(time.Second)
+				w.submit(w.owners[0], ids[0], request(1))
+				time.Sleep(time.Second)
+				tt.change(w, ids[0])
+				time.Sleep(time.Minute)
+				r := stored(t, w.store, ids[0])[ids[0]]
+				if r.State != tt.state || w.worker.runs[ids[0].String()] != 1 {
+					t.Errorf("%s after %d runs, want %s", r.State, w.worker.runs[ids[0].String()], tt.state)
+				}
+				for _, o := range w.owners {
+					if !slices.Equal(o.ended, tt.ended[o.name]) {
+						t.Errorf("%s released %v, want %v", o.name, o.ended, tt.ended[o.name])
+					}
+					o.j.Close(t.Context())
+				}
+				w.wg.Wait()
+			})
+		})
+	}
+}
+
+// Guards against a record without a runner that stays open until its deadline: the
+// caller gave up while the commit was under way.
+func TestAbandonedSubmissionEnds(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w, ids := newWorld(t, 1), newIDs(1)
+			o := w.owners[0]
+			w.members("a")
+			time.Sleep(time.Second)
+			sub := Submission{
+				ID:      ids[0],
+				Request: request(0),
+			}
+			if started {
+				sub.Attempt = w.attempt(o, ids[0])
+			}
+			o.set(true)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			if _, err := o.j.Submit(ctx, sub); EffectOf(err) != EffectUnknown {
+				t.Errorf("submission: %v", err)
+			}
+			o.set(false)
+			time.Sleep(5 * time.Second)
+			if r := stored(t, w.store, ids[0])[ids[0]]; r.Verdict != VerdictCallerLost || r.Ran || r.Starts > 0 != started {
+				t.Errorf("%s %q, ran %t, %d starts", r.State, r.Verdict, r.Ran, r.Starts)
+			}
+			o.j.Close(t.Context())
+			w.wg.Wait()
+		})
+	}
+}
+
+// Guards against a start after the right ran out between the placement and the start.
+func TestNoStartWithoutTheRight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, ids := newWorld(t, 1), newIDs(1)
+		o := w.owners[0]
+		o.lapse = true
+		w.members("a")
+		time.Sleep(time.Second)
+		w.submit(o, ids[0], request(1))
+		time.Sleep(30 * time.Second)
+		o.mu.Lock()
+		o.lapse, o.noRight = false, false
+		o.mu.Unlock()
+		w.settle(t, ids)
+		if r := stored(t, w.store, ids[0])[ids[0]]; r.State != StateDone || r.Starts < 2 {
+			t.Errorf("%s after %d starts", r.State, r.Starts)
+		}
+	})
+}
+
 // slowTarget counts the revocations that run at the same time.
 type slowTarget struct {
 	runner.Target
