--- a/internal/coordinator/servers.go
+++ b/internal/coordinator/servers.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"time"
 
@@ -106,6 +107,10 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	})
+	if e.cfg.Settings.Profiling {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	}
 	return mux
 }
 
--- a/internal/demonstrator/demo.go
+++ b/internal/demonstrator/demo.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return Summary{}, Error.Wrap(err)
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	options.Dir = dir
 	in, err := Start(ctx, options.Config)
 	if err != nil {
--- a/internal/demonstrator/installation.go
+++ b/internal/demonstrator/installation.go
@@ -15,7 +15,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"sort"
 	"strings"
 	"time"
 
@@ -47,6 +46,9 @@
 	Zones          int
 	EntriesPerZone int
 	Log            io.Writer // progress, one line a step
+	// AnswerRetention is how long workers keep answers; zero means their default.
+	AnswerRetention time.Duration
+	Profiling       bool // entry daemons serve profiles on their metrics listener
 }
 
 // EntryProcess is one entry daemon.
@@ -151,33 +153,6 @@
 	return "zone-" + string(rune('a'+n))
 }
 
-func (in *Installation) startWorkers(context.Context) error {
-	for zone := range in.cfg.Zones {
-		pools := make([]string, 0, len(in.plan.VMs))
-		for pool := range in.plan.VMs {
-			pools = append(pools, pool)
-		}
-		sort.Strings(pools)
-		for _, pool := range pools {
-			for n := range in.plan.VMs[pool] {
-				w := &WorkerProcess{
-					VM:   vmName(zoneName(zone), pool, n),
-					Zone: zoneName(zone),
-					Rack: fmt.Sprintf("rack-%s-%d", zoneName(zone), n/4),
-					Pool: pool,
-				}
-				p, err := start(in.cfg.Program, w.VM, in.log, true, "worker", "--listen", "127.0.0.1:0")
-				if err != nil {
-					return err
-				}
-				w.Process = p
-				in.Workers = append(in.Workers, w)
-			}
-		}
-	}
-	return nil
-}
-
 func (in *Installation) startPlatform(context.Context) error {
 	args := []string{"platform", "--listen", "127.0.0.1:0"}
 	for _, w := range in.Workers {
@@ -266,8 +241,9 @@
 ca_files = [%q]
 operator_key_sha256 = %q
 drain_delay = "200ms"
+profiling = %t
 `, e.Name, region, e.Zone, e.Callers, e.Operator, e.Metrics, e.Peers, in.Platform.Address,
-			strings.Join(contacts, `", "`), certificate, key, ca, hex.EncodeToString(hash[:]))
+			strings.Join(contacts, `", "`), certificate, key, ca, hex.EncodeToString(hash[:]), in.cfg.Profiling)
 		if err := os.WriteFile(e.Settings, []byte(text), 0o600); err != nil {
 			return Error.Wrap(err)
 		}
@@ -279,7 +255,7 @@
 func freeAddress(network string) string {
 	if network == "udp" {
 		if conn, err := net.ListenPacket("udp", "127.0.0.1:0"); err == nil {
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			return conn.LocalAddr().String()
 		}
 		return ""
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -44,6 +44,7 @@
 	CallerAddress   string
 	OperatorAddress string
 	MetricsAddress  string
+	Profiling       bool
 	PeerAddress     string
 	PlatformAddress string
 	ContactPeers    []string
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -63,6 +63,7 @@
 		{name: "URL", old: `http:`, new: `ftp:`, want: `entry.toml:8: platform_address: got "ftp://127.0.0.1:7000"`},
 		{name: "no CA", old: `["ca.pem"]`, new: `[]`, want: `entry.toml:11: ca_files: got []; want a list of 1 to 2`},
 		{name: "below bounds", new: `drain_delay = "-1s"`, want: `entry.toml:13: drain_delay: got "-1s"; want a duration from "0s" to "1m0s"`},
+		{name: "boolean", new: `profiling = "yes"`, want: `entry.toml:13: profiling: got "yes"; want true or false`},
 		{name: "no unit", new: `drain_delay = 1`, want: `drain_delay: got 1; want a duration`},
 		{name: "above bounds", new: `journal_body_limit = 524289`, want: `journal_body_limit: got 524289; want an integer from 1024 to 524288 bytes`},
 		{name: "relation", new: "silence_timeout = \"1s\"", want: `silence_timeout: got 1s; want more than health_interval, 1s`},
--- a/internal/loader/table.go
+++ b/internal/loader/table.go
@@ -24,6 +24,7 @@
 	typeLevel     = "log level"
 	typeInteger   = "integer"
 	typeDuration  = "duration"
+	typeBoolean   = "boolean"
 )
 
 var (
@@ -65,6 +66,7 @@
 		text("caller_address", typeAddress, nil, "listener for callers", func(s *Settings) *string { return &s.CallerAddress }),
 		text("operator_address", typeAddress, nil, "listener for operators", func(s *Settings) *string { return &s.OperatorAddress }),
 		text("metrics_address", typeAddress, nil, "listener for metrics and health", func(s *Settings) *string { return &s.MetricsAddress }),
+		flag("profiling", false, "serves Go profiles under /debug/pprof/ on metrics_address", func(s *Settings) *bool { return &s.Profiling }),
 		text("peer_address", typeAddress, nil, "UDP listener for other entry daemons", func(s *Settings) *string { return &s.PeerAddress }),
 		text("platform_address", typeURL, nil, "platform's key-value service and VM list", func(s *Settings) *string { return &s.PlatformAddress }),
 		list("contact_peers", typeAddresses, []any{}, 0, 64, "peers for the first contact; later ones come from the member list", func(s *Settings) *[]string { return &s.ContactPeers }),
@@ -122,6 +124,23 @@
 	}
 }
 
+func flag(name string, def bool, help string, field func(*Settings) *bool) Key {
+	return Key{
+		Name:    name,
+		Type:    typeBoolean,
+		Default: def,
+		Help:    help,
+		set: func(s *Settings, value any) error {
+			v, ok := value.(bool)
+			if !ok {
+				return errValue
+			}
+			*field(s) = v
+			return nil
+		},
+	}
+}
+
 func list(name, typ string, def any, low, high int64, help string, field func(*Settings) *[]string) Key {
 	return Key{
 		Name:    name,
@@ -240,6 +259,8 @@
 		return "64 lower-case hexadecimal digits"
 	case typeLevel:
 		return "one of " + strings.Join(logLevels, ", ")
+	case typeBoolean:
+		return "true or false"
 	case typeInteger:
 		return fmt.Sprintf("an integer from %d to %d %s", k.Low, k.High, k.Unit)
 	default:
