server: reuse the buffers that copy answers

Cause: each answer allocated a zeroed buffer of 32 KiB, whatever its size. At some thousand answers a second that keeps the collector busy.

Change: a sync.Pool of each caller handler holds the buffers.

Ruled out: a smaller buffer, which would make large answers slower.

--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -56,11 +57,16 @@
 
 type caller struct {
 	cfg CallerConfig
+	// buffers holds *[copyBufferBytes]byte: one for each answer made up most of the garbage.
+	buffers sync.Pool
 }
 
 // NewCaller returns the handler of the caller's API.
 func NewCaller(cfg CallerConfig) http.Handler {
-	c := &caller{cfg: cfg}
+	c := &caller{
+		cfg:     cfg,
+		buffers: sync.Pool{New: func() any { return new([copyBufferBytes]byte) }},
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/v1/queues/{queue}/{path...}", c.submit)
 	mux.HandleFunc("GET /v1/jobs/{identity}", c.job(dispatcher.JobState))
@@ -152,16 +158,18 @@
 		header.Set("Content-Type", result.ContentType)
 	}
 	w.WriteHeader(result.Status)
-	if err := copyAnswer(w, result.Body); err != nil {
+	if err := c.copyAnswer(w, result.Body); err != nil {
 		c.cfg.Logger.Warn("answer broken off", "error", err)
 		panic(http.ErrAbortHandler) // the documented way of net/http to abort a response
 	}
 }
 
 // copyAnswer streams the body and gives each part of it a write deadline.
-func copyAnswer(w http.ResponseWriter, body io.Reader) error {
+func (c *caller) copyAnswer(w http.ResponseWriter, body io.Reader) error {
 	controller := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferBytes)
+	pooled := c.buffers.Get().(*[copyBufferBytes]byte)
+	defer c.buffers.Put(pooled)
+	buffer := pooled[:]
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
