--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -38,7 +38,7 @@
 	ForwardJob(ctx context.Context, peer string, r JobRequest) Result
 }
 
-// Config configures a Dispatcher. All fields but Seed are required.
+// Config configures a Dispatcher. All fields but Seed and Connect are required.
 type Config struct {
 	Entry            string
 	AvailabilityZone string
@@ -53,6 +53,8 @@
 	MaxRequestBytes int64
 	MaxAnswerBytes  int64
 	Seed            uint64
+	// Connect returns the client of the worker at an address; nil means a runner.Client.
+	Connect func(address string) Target
 }
 
 // Dispatcher takes requests to their answers.
@@ -77,6 +79,14 @@
 // New returns a Dispatcher without targets. SetJournal must be called before the
 // first request.
 func New(cfg Config) *Dispatcher {
+	if cfg.Connect == nil {
+		cfg.Connect = func(address string) Target {
+			return runner.NewClient(runner.ClientConfig{
+				Address:      address,
+				MaxBodyBytes: cfg.MaxAnswerBytes,
+			})
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Dispatcher{
 		cfg:     cfg,
--- a/internal/dispatcher/target.go
+++ b/internal/dispatcher/target.go
@@ -27,11 +27,20 @@
 // ErrUnknownTarget means that no target of this name is known.
 var ErrUnknownTarget = errors.New("unknown target")
 
+// Target is a worker as a Dispatcher uses it.
+type Target interface {
+	runner.Target
+	// Draining reports whether the latest answer said that the worker is leaving.
+	Draining() bool
+	// Close ends all calls.
+	Close()
+}
+
 // target is one VM that runs work.
 type target struct {
 	vm     lister.VM
 	pool   *pool
-	client *runner.Client
+	client Target
 	stop   context.CancelFunc
 	done   chan struct{}
 
@@ -92,14 +101,11 @@
 func (r *registry) add(vm lister.VM, poolName string) *target {
 	ctx, cancel := context.WithCancel(r.d.ctx)
 	t := &target{
-		vm:   vm,
-		pool: r.d.pool(poolName),
-		client: runner.NewClient(runner.ClientConfig{
-			Address:      vm.Address,
-			MaxBodyBytes: r.d.cfg.MaxAnswerBytes,
-		}),
-		stop: cancel,
-		done: make(chan struct{}),
+		vm:     vm,
+		pool:   r.d.pool(poolName),
+		client: r.d.cfg.Connect(vm.Address),
+		stop:   cancel,
+		done:   make(chan struct{}),
 	}
 	r.targets[vm.Name] = t
 	r.wg.Go(func() { t.watch(ctx) })
