--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -31,6 +31,7 @@
 		certificatesCommand(),
 		operatorKeyCommand(),
 		measureCommand(),
+		latencyCommand(),
 		versionCommand(),
 		referenceCommand(),
 	}
--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -152,7 +152,12 @@
 		Logger:          hclog.NewNullLogger(),
 		MaxRequestBytes: 1 << 20,
 		MaxAnswerBytes:  1 << 20,
-		Dial:            listener.DialContext,
+		Connect: func(address string) Target {
+			return runner.NewClient(runner.ClientConfig{
+				Address: address,
+				Dial:    listener.DialContext,
+			})
+		},
 	})
 }
 
