dispatcher: checkpoint deferrable tasks and hold targets for large requests

Cause: scheduler.ShouldCheckpoint, Overdue and placer.Hold had no caller, so urgent work waited for the end of a deferrable task and a large request waited while smaller ones took each free slot.

Change: when an urgent or interactive request has waited 500 ms, a deferrable task in whose place it would fit is checkpointed, and its slots are granted at once. The task is resumed when its target has room, and goes ahead of queued requests after 30 s. It runs at least 5 s before it is checkpointed again, and a task within 1 min of its deadline is left alone. The team's allowance stays taken meanwhile, so that a worker or a successor that resumes the task can't exceed the limit. A successor that adopts a checkpointed task resumes it. The most overdue request that fits nowhere gets a held target if its team has allowance; of two entry daemons that hold in one pool the lower name goes on.

Ruled out: a release of the allowance at the checkpoint (a lost answer of Checkpoint or a takeover could then run the task without allowance).

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,7 +39,7 @@
 	ForwardJob(ctx context.Context, peer string, r JobRequest) Result
 }
 
-// Config configures a Dispatcher. All fields but Seed are required.
+// Config configures a Dispatcher. All fields but Seed and Dial are required.
 type Config struct {
 	Entry            string
 	AvailabilityZone string
@@ -53,6 +54,8 @@
 	MaxRequestBytes int64
 	MaxAnswerBytes  int64
 	Seed            uint64
+	// Dial opens connections to workers; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Dispatcher takes requests to their answers.
@@ -213,11 +216,14 @@
 
 // Running returns what this entry daemon runs, by pool and team.
 func (d *Dispatcher) Running() map[string]map[string]runner.Resources {
-	teams := d.cfg.Tree().Teams
+	teams := []string{""} // work on open queues
+	for team := range d.cfg.Tree().Teams {
+		teams = append(teams, team)
+	}
 	running := map[string]map[string]runner.Resources{}
 	for _, p := range d.allPools() {
 		p.mu.Lock()
-		for team := range teams {
+		for _, team := range teams {
 			if used := p.sched.Running(team); used != (runner.Resources{}) {
 				if running[p.name] == nil {
 					running[p.name] = map[string]runner.Resources{}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -108,7 +108,7 @@
 	}
 	return journaler.Placement{
 		Name:      g.target.vm.Name,
-		Target:    g.target.client,
+		Target:    interruptible{Target: g.target.client, grant: g},
 		Pool:      p.name,
 		Resources: need.Resources,
 		Release:   func() { g.release(true) },
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -20,19 +20,27 @@
 	d    *Dispatcher
 	name string
 
-	mu      sync.Mutex
-	sched   *scheduler.Scheduler[*waiter]
-	placer  *placer.Placer
-	ejector *ejector.Ejector
-	rng     *rand.Rand
-	members map[string]*member
-	waiting int // queued requests
+	mu       sync.Mutex
+	sched    *scheduler.Scheduler[*waiter]
+	placer   *placer.Placer
+	ejector  *ejector.Ejector
+	rng      *rand.Rand
+	members  map[string]*member
+	waiting  int // queued requests
+	pressing int // slots of queued urgent and interactive requests
+
+	held     *waiter         // the request for which a target is held free
+	target   string          // the held target
+	peerHold Hold            // a target that a peer holds free
+	tasks    map[*grant]bool // deferrable tasks that run or are checkpointed
+	calling  bool            // a checkpoint is under way
 }
 
 // member is a target with what is known of its size and use.
 type member struct {
 	target *target
 	total  runner.Resources // zero until the worker reported
+	tasks  int              // that the worker reported as running, of all entry daemons
 	grants int
 	idle   chan struct{} // closed when the last grant ends after removal; nil before
 }
@@ -40,6 +48,7 @@
 // waiter is a queued request.
 type waiter struct {
 	team    string
+	class   configurer.Class
 	slots   int
 	need    placer.Need
 	granted chan *grant // receives nil when the chosen target is gone again
@@ -53,6 +62,9 @@
 	team      string
 	resources runner.Resources
 	placement placer.Placement
+	need      placer.Need
+	deadline  time.Time
+	pausable
 }
 
 func newPool(d *Dispatcher, name string, seed uint64) *pool {
@@ -64,11 +76,13 @@
 				Below:   deferrableThreshold,
 				Reserve: deferrableReserve,
 			},
+			HoldsTargets: true,
 		}),
 		placer:  placer.New(d.cfg.AvailabilityZone),
 		ejector: ejector.New(ejector.Config{}),
 		rng:     rand.New(rand.NewPCG(seed, seed)),
 		members: map[string]*member{},
+		tasks:   map[*grant]bool{},
 	}
 }
 
@@ -79,6 +93,7 @@
 func (p *pool) acquire(ctx context.Context, team string, class configurer.Class, need placer.Need, deadline time.Time) (*grant, error) {
 	w := &waiter{
 		team:    team,
+		class:   class,
 		slots:   need.Slots,
 		need:    need,
 		granted: make(chan *grant, 1),
@@ -124,6 +139,9 @@
 		return ticket, err
 	}
 	p.waiting++
+	if class != configurer.ClassDeferrable {
+		p.pressing += w.slots
+	}
 	p.d.addQueued(w.team, w.slots)
 	p.pump(now)
 	return ticket, nil
@@ -149,17 +167,19 @@
 
 func (p *pool) dequeued(w *waiter) {
 	p.waiting--
+	if w.class != configurer.ClassDeferrable {
+		p.pressing -= w.slots
+	}
 	p.d.addQueued(w.team, -w.slots)
 }
 
 // pump grants slots while requests and room are left. The lock is held.
 func (p *pool) pump(now time.Time) {
 	p.sched.Expire(now, func(r scheduler.Request[*waiter]) { p.dequeued(r.Value) })
-	for p.waiting > 0 {
-		if !p.grantNext(now) {
-			return
-		}
+	p.resume(now, maxPause)
+	for p.waiting > 0 && p.grantNext(now) {
 	}
+	p.resume(now, 0)
 }
 
 // grantNext grants a slot to the request that the scheduler chooses. Allowance is
@@ -204,6 +224,8 @@
 		team:      w.team,
 		resources: w.need.Resources,
 		placement: placement,
+		need:      w.need,
+		deadline:  r.Deadline,
 	}
 	return true
 }
@@ -220,8 +242,7 @@
 func (g *grant) release(ended bool) {
 	p := g.pool
 	p.mu.Lock()
-	p.sched.Finish(g.team, g.resources)
-	p.placer.Release(g.placement)
+	p.forget(g)
 	g.member.grants--
 	if g.member.grants == 0 && g.member.idle != nil {
 		close(g.member.idle)
@@ -271,6 +292,7 @@
 	if m == nil || m.target != t {
 		return
 	}
+	m.tasks = usage.Running
 	if m.total != usage.Total {
 		m.total = usage.Total
 		p.put(m, time.Now())
@@ -281,11 +303,15 @@
 }
 
 func (p *pool) put(m *member, now time.Time) {
-	usable := m.target.usable() && m.total.Slots > 0 && !p.ejector.Ejected(now, m.target.vm.Name)
-	p.placer.Put(m.target.description(m.total, usable))
+	p.placer.Put(m.target.description(m.total, p.usable(m, now)))
 	p.capacity()
 }
 
+func (p *pool) usable(m *member, now time.Time) bool {
+	name := m.target.vm.Name
+	return m.target.usable() && m.total.Slots > 0 && !p.ejector.Ejected(now, name) && !p.leaves(name)
+}
+
 func (p *pool) capacity() {
 	all, largest := p.placer.Capacity()
 	p.sched.SetCapacity(all, largest)
@@ -294,8 +320,7 @@
 // refresh applies ejections that began or ended.
 func (p *pool) refresh(now time.Time) {
 	for name, m := range p.members {
-		usable := m.target.usable() && m.total.Slots > 0 && !p.ejector.Ejected(now, name)
-		p.placer.SetUsable(name, usable)
+		p.placer.SetUsable(name, p.usable(m, now))
 	}
 	p.capacity()
 }
@@ -336,7 +361,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refresh(now)
-	if p.waiting > 0 {
+	p.hold(now)
+	if p.waiting > 0 || len(p.tasks) > 0 {
 		p.pump(now)
 	}
+	p.checkpoint(now)
 }
--- a/internal/dispatcher/target.go
+++ b/internal/dispatcher/target.go
@@ -97,6 +97,7 @@
 		client: runner.NewClient(runner.ClientConfig{
 			Address:      vm.Address,
 			MaxBodyBytes: r.d.cfg.MaxAnswerBytes,
+			Dial:         r.d.cfg.Dial,
 		}),
 		stop: cancel,
 		done: make(chan struct{}),
--- a/pkg/journaler/limits_test.go
+++ b/pkg/journaler/limits_test.go
@@ -116,3 +116,31 @@
 		}
 	})
 }
+
+// pausedTarget has a checkpointed task and no free slot at first.
+type pausedTarget struct {
+	runner.Target
+	calls int
+}
+
+func (p *pausedTarget) Status(context.Context, string) (runner.Status, error) {
+	return runner.Status{State: runner.StateCheckpointed}, nil
+}
+
+func (p *pausedTarget) Resume(context.Context, string) error {
+	if p.calls++; p.calls < 3 {
+		return runner.ErrBusy
+	}
+	return nil
+}
+
+// Guards against an adopted task that stays checkpointed because its former owner is gone.
+func TestAdoptedTaskIsResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &pausedTarget{}
+		newTenure(New(Config{}), nil).resume(t.Context(), target, "t")
+		if target.calls != 3 {
+			t.Errorf("%d calls, want 3: two refusals and one success", target.calls)
+		}
+	})
+}
--- a/pkg/journaler/recovery.go
+++ b/pkg/journaler/recovery.go
@@ -157,9 +157,26 @@
 	renewing, stop := context.WithCancel(ctx)
 	defer stop()
 	t.wg.Go(func() { t.renew(renewing, target, session, boot) })
+	t.wg.Go(func() { t.resume(renewing, target, r.Task) })
 	return t.fetch(ctx, target, r)
 }
 
+// resume continues an adopted task if its former owner has checkpointed it.
+func (t *tenure) resume(ctx context.Context, target runner.Target, task string) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, t.j.cfg.CallTimeout)
+		status, err := target.Status(call, task)
+		if err == nil && status.State == runner.StateCheckpointed {
+			err = target.Resume(call, task)
+		}
+		cancel()
+		if err == nil || errors.Is(err, runner.ErrTaskEnded) || errors.Is(err, runner.ErrUnknownTask) {
+			return
+		}
+		_ = sleep(ctx, t.j.cfg.RetryDelay)
+	}
+}
+
 func (t *tenure) adopt(ctx context.Context, target runner.Target, task, session string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.j.cfg.CallTimeout)
 	defer cancel()
--- a/pkg/placer/choose.go
+++ b/pkg/placer/choose.go
@@ -1,6 +1,10 @@
 package placer
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+
+	"github.com/comfreyford/comfreyford/pkg/runner"
+)
 
 // choose returns the less loaded of two random targets that fit, none if none fits.
 func (p *Placer) choose(rng *rand.Rand, targets []int32, need *Need) int32 {
@@ -91,16 +95,25 @@
 func (p *Placer) refresh(i int32) {
 	e := &p.entries[i]
 	r := &p.room[i]
-	r.Slots = e.Total.Slots - e.used.Slots - e.others.Slots
-	r.Connections = e.Total.Connections - e.used.Connections - e.others.Connections
-	r.CPUMillis = e.Total.CPUMillis - e.used.CPUMillis - e.others.CPUMillis
-	r.MemoryMB = e.Total.MemoryMB - e.used.MemoryMB - e.others.MemoryMB
-	r.Accelerators = e.Total.Accelerators - e.used.Accelerators - e.others.Accelerators
+	*r = e.free()
 	if !e.Usable {
 		r.Slots = -1
 	}
 }
 
+// free returns what neither this entry daemon nor others use, whether usable or not.
+func (e *entry) free() Room {
+	return Room{
+		Resources: runner.Resources{
+			Slots:        e.Total.Slots - e.used.Slots - e.others.Slots,
+			CPUMillis:    e.Total.CPUMillis - e.used.CPUMillis - e.others.CPUMillis,
+			MemoryMB:     e.Total.MemoryMB - e.used.MemoryMB - e.others.MemoryMB,
+			Accelerators: e.Total.Accelerators - e.used.Accelerators - e.others.Accelerators,
+		},
+		Connections: e.Total.Connections - e.used.Connections - e.others.Connections,
+	}
+}
+
 func within(need, room *Room) bool {
 	return need.Slots <= room.Slots &&
 		need.Connections <= room.Connections &&
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -165,19 +165,10 @@
 	if i == none {
 		return Placement{}, false
 	}
-	e := &p.entries[i]
 	if need.Held && i == p.held {
 		p.held = none
 	}
-	e.reserve(&need.Room, 1)
-	p.load[e.rack].running += need.Slots
-	p.refresh(i)
-	return Placement{
-		Target:     e.ID,
-		index:      i,
-		generation: e.generation,
-		need:       need.Room,
-	}, true
+	return p.reserve(i, need), true
 }
 
 // Fits tells whether Place would find a target.
@@ -192,15 +183,63 @@
 	return false
 }
 
+// FitsWithout tells whether a request would fit on the target of a reservation if that
+// reservation ended. It is false on targets that are not usable.
+func (p *Placer) FitsWithout(need *Need, r Placement) bool {
+	if !p.current(r) || !p.entries[r.index].Usable || r.index == p.held && !need.Held {
+		return false
+	}
+	for _, id := range need.Avoid {
+		if id == r.Target {
+			return false
+		}
+	}
+	e := &p.entries[r.index]
+	e.reserve(&r.need, -1)
+	room := e.free()
+	e.reserve(&r.need, 1)
+	return within(&need.Room, &room)
+}
+
+// Reserve reserves room on one target, also while that is not usable: a checkpointed
+// task can continue only there. Without room or on the held target it returns false.
+func (p *Placer) Reserve(target string, need *Need) (Placement, bool) {
+	i, ok := p.index[target]
+	if !ok || i == p.held {
+		return Placement{}, false
+	}
+	e := &p.entries[i]
+	room := e.free()
+	if !within(&need.Room, &room) {
+		return Placement{}, false
+	}
+	return p.reserve(i, need), true
+}
+
+func (p *Placer) reserve(i int32, need *Need) Placement {
+	e := &p.entries[i]
+	e.reserve(&need.Room, 1)
+	p.load[e.rack].running += need.Slots
+	p.refresh(i)
+	return Placement{
+		Target:     e.ID,
+		index:      i,
+		generation: e.generation,
+		need:       need.Room,
+	}
+}
+
+// current tells whether a reservation is on a target that was not removed since.
+func (p *Placer) current(r Placement) bool {
+	return r.Target != "" && int(r.index) < len(p.entries) && p.entries[r.index].generation == r.generation
+}
+
 // Release ends a reservation. It has no effect after the target was removed.
 func (p *Placer) Release(r Placement) {
-	if r.Target == "" || int(r.index) >= len(p.entries) {
+	if !p.current(r) {
 		return
 	}
 	e := &p.entries[r.index]
-	if e.generation != r.generation {
-		return
-	}
 	e.reserve(&r.need, -1)
 	p.load[e.rack].running -= r.need.Slots
 	p.refresh(r.index)
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -278,14 +278,35 @@
 // ShouldCheckpoint tells whether urgent or interactive work has waited so long
 // that a deferrable task of the pool may be checkpointed.
 func (s *Scheduler[T]) ShouldCheckpoint(now time.Time) bool {
-	for _, t := range s.order {
-		for class := range deferrable {
-			if r := t.queues[class].Peek(); r != nil && now.Sub(r.Enqueued) >= s.cfg.CheckpointDelay {
-				return true
+	_, ok := s.Delayed(now, nil)
+	return ok
+}
+
+// Delayed returns the first urgent, otherwise interactive, request that has waited so
+// long that a deferrable task may be checkpointed for it and for which helps returns
+// true. nil means that it helps all requests.
+func (s *Scheduler[T]) Delayed(now time.Time, helps func(*Request[T]) bool) (Request[T], bool) {
+	for class := range deferrable {
+		for _, t := range s.order {
+			r := t.queues[class].Peek()
+			if r == nil || now.Sub(r.Enqueued) < s.cfg.CheckpointDelay || !r.Deadline.After(now) {
+				continue
+			}
+			if helps == nil || helps(r) {
+				return *r, true
 			}
 		}
 	}
-	return false
+	return Request[T]{}, false
+}
+
+// Continue counts a request that was checkpointed, and therefore ended by Finish, as
+// running again until the next Finish.
+func (s *Scheduler[T]) Continue(name string, used runner.Resources) {
+	t := s.team(name)
+	t.own = add(t.own, used)
+	s.total = add(s.total, used)
+	s.weigh(t)
 }
 
 // Overdue returns the request that is furthest past the age limit of its class. When
