planner, coordinator: move VMs from and to the spare pool

Change: the maintenance leaseholder lends VMs of the spare pools and takes them back with the hysteresis of the policy document. Demand is what entry daemons run plus the urgent and interactive slots that they queue, which the report message now carries per pool, with the held target. Each move is one transition of the fleet document under one operation id; an unknown outcome is repeated with the same id. A VM record names the spare pool that lent it, so that only lent VMs return. A reboot request that the platform refuses no longer ends the step of the leaseholder before the moves.

Ruled out: counting deferrable work as demand, because it can wait and would keep VMs lent.

Figures: a peak of 3 s moves no VM, one of 60 s all that the spare pool may lend, and all return after it.

--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -72,6 +72,7 @@
 	pacer       *journaler.Pacer
 	dispatcher  *dispatcher.Dispatcher
 	driver      *planner.Driver
+	mover       *planner.Mover
 	recorder    *recorder.Recorder
 	keys        atomic.Pointer[authenticator.Index]
 	servers     []*http.Server
@@ -226,6 +227,14 @@
 		},
 		NewID: uuid.NewString,
 	})
+	e.mover = planner.NewMover(planner.MoverConfig{
+		Region: s.Region,
+		Store:  e.store,
+		Pools:  func() planner.Pools { return e.view.Current().Tree.Pools },
+		Policy: func() configurer.Policy { return e.view.Current().Tree.Policy },
+		Load:   e.poolLoad,
+		NewID:  uuid.NewString,
+	})
 }
 
 // platform adapts the VM list to what maintenance needs.
--- a/internal/coordinator/messages.go
+++ b/internal/coordinator/messages.go
@@ -39,6 +39,7 @@
 	Zone        string        `cbor:"availability_zone"`
 	Teams       []teamReport  `cbor:"teams,omitempty"`
 	Usage       []usageReport `cbor:"usage,omitempty"`
+	Pools       []poolReport  `cbor:"pools,omitempty"`
 }
 
 // teamReport is the allowance of a team that peers may use.
@@ -54,6 +55,14 @@
 	Used runner.Resources `cbor:"used"`
 }
 
+// poolReport is what the sender queues for a pool, without work that can wait, and the
+// target that it holds free there.
+type poolReport struct {
+	Pool        string `cbor:"pool"`
+	QueuedSlots int    `cbor:"queued_slots"`
+	HeldTarget  string `cbor:"held_target,omitempty"`
+}
+
 // reportAnswer has no content yet; a later release may add fields.
 type reportAnswer struct{}
 
--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/comfreyford/comfreyford/internal/dispatcher"
 	"github.com/comfreyford/comfreyford/internal/messenger"
 	"github.com/comfreyford/comfreyford/pkg/limiter"
 	"github.com/comfreyford/comfreyford/pkg/registrar"
@@ -40,6 +41,7 @@
 	heard       time.Time
 	spare       map[string]int
 	usage       map[usageKey]runner.Resources
+	pools       map[string]dispatcher.PoolDemand
 }
 
 type usageKey struct {
@@ -65,6 +67,7 @@
 			incarnation: r.Incarnation,
 			spare:       map[string]int{},
 			usage:       map[usageKey]runner.Resources{},
+			pools:       map[string]dispatcher.PoolDemand{},
 		}
 		p.known[r.Entry] = k
 	}
@@ -80,6 +83,50 @@
 			team: u.Team,
 		}] = u.Used
 	}
+	for _, d := range r.Pools {
+		k.pools[d.Pool] = dispatcher.PoolDemand{
+			QueuedSlots: d.QueuedSlots,
+			HeldTarget:  d.HeldTarget,
+		}
+	}
+}
+
+// queuedSlots adds up what the live peers queue, by pool.
+func (p *peers) queuedSlots(now time.Time) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sum := map[string]int{}
+	for _, k := range p.known {
+		if now.Sub(k.heard) >= reportTimeout {
+			continue
+		}
+		for pool, d := range k.pools {
+			sum[pool] += d.QueuedSlots
+		}
+	}
+	return sum
+}
+
+// holds returns the targets that live peers hold free, by pool. Of several in one pool
+// that of the peer with the lowest name counts, so that one of them gives way.
+func (p *peers) holds(now time.Time) map[string]dispatcher.Hold {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := map[string]dispatcher.Hold{}
+	for _, k := range p.known {
+		if now.Sub(k.heard) >= reportTimeout {
+			continue
+		}
+		for pool, d := range k.pools {
+			if old, ok := held[pool]; d.HeldTarget != "" && (!ok || k.name < old.Entry) {
+				held[pool] = dispatcher.Hold{
+					Entry:  k.name,
+					Target: d.HeldTarget,
+				}
+			}
+		}
+	}
+	return held
 }
 
 // live returns the peers with a recent report, sorted by name.
@@ -169,6 +216,7 @@
 type reporter struct {
 	last  map[string]int
 	usage map[usageKey]runner.Resources
+	pools map[string]dispatcher.PoolDemand
 	sent  int
 }
 
@@ -176,6 +224,24 @@
 // for peers that missed a report.
 const fullReportEvery = 20
 
+// poolChanges returns the pools whose figures differ from the last report. It comes
+// before changes, which counts the reports.
+func (r *reporter) poolChanges(pools map[string]dispatcher.PoolDemand) []poolReport {
+	full := r.sent%fullReportEvery == 0
+	var changed []poolReport
+	for pool, d := range pools {
+		if old, ok := r.pools[pool]; full || !ok || old != d {
+			changed = append(changed, poolReport{
+				Pool:        pool,
+				QueuedSlots: d.QueuedSlots,
+				HeldTarget:  d.HeldTarget,
+			})
+		}
+	}
+	r.pools = pools
+	return changed
+}
+
 // changes returns the figures that differ from the last report.
 func (r *reporter) changes(spare map[string]int, usage map[usageKey]runner.Resources) ([]teamReport, []usageReport) {
 	full := r.sent%fullReportEvery == 0
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -192,6 +192,7 @@
 			}] = used
 		}
 	}
+	pools := r.poolChanges(e.dispatcher.Demand())
 	teams, used := r.changes(spare, usage)
 	return report{
 		Entry:       e.cfg.Settings.Name,
@@ -201,6 +202,7 @@
 		Zone:        e.cfg.Settings.AvailabilityZone,
 		Teams:       teams,
 		Usage:       used,
+		Pools:       pools,
 	}
 }
 
@@ -259,6 +261,7 @@
 		for key, used := range e.peers.usage(now) {
 			e.dispatcher.SetPeerUsage(key.pool, key.team, used)
 		}
+		e.dispatcher.SetPeerHolds(e.peers.holds(now))
 	})
 }
 
@@ -300,7 +303,7 @@
 // maintain performs maintenance while this entry daemon holds the lease of its region.
 func (e *Entry) maintain(ctx context.Context) error {
 	err := every(ctx, maintenanceInterval, func() {
-		err := e.driver.Step(ctx, time.Now())
+		err := e.maintainOnce(ctx, time.Now())
 		if err != nil && !errors.Is(err, planner.ErrNotHolder) && ctx.Err() == nil {
 			e.logger("maintenance").Debug("step failed", "error", err)
 		}
@@ -312,6 +315,43 @@
 	return err
 }
 
+func (e *Entry) maintainOnce(ctx context.Context, now time.Time) error {
+	err := e.driver.Step(ctx, now)
+	if errors.Is(err, planner.ErrNotHolder) {
+		e.mover.Reset()
+	}
+	if err != nil && !errors.Is(err, planner.ErrReboot) {
+		return err
+	}
+	return errors.Join(err, e.mover.Step(ctx, now, e.driver.Fleet()))
+}
+
+// poolLoad adds the reports of the peers to what this entry daemon runs and queues.
+func (e *Entry) poolLoad() planner.Load {
+	now := time.Now()
+	load := planner.Load{
+		Demand:  map[string]float64{},
+		VMSlots: e.dispatcher.VMSlots(),
+		Tasks:   e.dispatcher.Tasks,
+		Ready:   e.dispatcher.Ready,
+	}
+	for pool, d := range e.dispatcher.Demand() {
+		load.Demand[pool] += float64(d.QueuedSlots)
+	}
+	for pool, n := range e.peers.queuedSlots(now) {
+		load.Demand[pool] += float64(n)
+	}
+	for pool, teams := range e.dispatcher.Running() {
+		for _, used := range teams {
+			load.Demand[pool] += float64(used.Slots)
+		}
+	}
+	for key, used := range e.peers.usage(now) {
+		load.Demand[key.pool] += float64(used.Slots)
+	}
+	return load
+}
+
 // every calls f now and then in each interval until ctx is done.
 func every(ctx context.Context, interval time.Duration, f func()) error {
 	for {
--- a/pkg/planner/document.go
+++ b/pkg/planner/document.go
@@ -70,6 +70,7 @@
 	SinceMS          int64  `cbor:"5,keyasint"`           // Unix time of the last change of state
 	Operation        string `cbor:"6,keyasint,omitempty"` // reboot that the platform has not confirmed
 	Wave             string `cbor:"7,keyasint,omitempty"` // wave that takes the VM through maintenance
+	LentBy           string `cbor:"8,keyasint,omitempty"` // spare pool that the VM was lent by
 }
 
 // WaveState is the progress of a wave.
--- a/pkg/planner/driver.go
+++ b/pkg/planner/driver.go
@@ -16,6 +16,8 @@
 var (
 	// ErrNotHolder means that another process holds the maintenance lease.
 	ErrNotHolder = errors.New("maintenance lease held by another process")
+	// ErrReboot means that the document was committed and the platform refused a reboot request.
+	ErrReboot = errors.New("reboot not requested")
 	// ErrContended means that other writers were first in every attempt; nothing was written.
 	ErrContended = errors.New("too many concurrent writers")
 )
@@ -58,6 +60,7 @@
 type Driver struct {
 	cfg   Config
 	lease storer.LeaseID
+	fleet Fleet // as of the last Step without an error of the store
 }
 
 type holder struct {
@@ -96,9 +99,13 @@
 	if err != nil {
 		return err
 	}
+	d.fleet = f
 	return d.requestReboots(ctx, f)
 }
 
+// Fleet returns the document as the last Step committed or read it.
+func (d *Driver) Fleet() Fleet { return d.fleet }
+
 // requestReboots requests every reboot that the committed document records as open. A
 // request whose answer was lost is repeated in the next Step.
 func (d *Driver) requestReboots(ctx context.Context, f Fleet) error {
@@ -109,7 +116,7 @@
 			continue
 		}
 		if err := d.cfg.Platform.Reboot(ctx, id, vm.Operation); err != nil {
-			failed = append(failed, Error.New("reboot of %s: %w", id, err))
+			failed = append(failed, Error.New("%w: %s: %w", ErrReboot, id, err))
 		}
 	}
 	return errors.Join(failed...)
--- /dev/null
+++ b/pkg/planner/mover_test.go
@@ -0,0 +1,151 @@
+package planner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/configurer"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// moverFixture has three VMs in pool a and three in a spare pool that keeps one.
+type moverFixture struct {
+	t      *testing.T
+	store  *storer.Memory
+	faulty *storer.Faulty
+	mover  *Mover
+	now    time.Time
+	demand float64
+	ids    int
+}
+
+func newMoverFixture(t *testing.T) *moverFixture {
+	x := &moverFixture{
+		t:     t,
+		store: storer.NewMemory(),
+		now:   start,
+	}
+	x.faulty = &storer.Faulty{Store: x.store}
+	settings := Pools{
+		"a":     {Region: "r", MinVMs: 1},
+		"spare": {Region: "r", Spare: true, MinVMs: 1},
+	}
+	_, err := Update(t.Context(), x.store, "r", "setup", func(f Fleet) (Fleet, error) {
+		var err error
+		for i := range 6 {
+			pool := []string{"a", "spare"}[i/3]
+			if f, err = AddVM(f, start, fmt.Sprint(i), VM{Pool: pool}, settings); err != nil {
+				return f, err
+			}
+		}
+		return f, nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.mover = NewMover(MoverConfig{
+		Region: "r",
+		Store:  x.faulty,
+		Pools:  func() Pools { return settings },
+		Policy: configurer.DefaultPolicy,
+		Load: func() Load {
+			return Load{
+				Demand:  map[string]float64{"a": x.demand},
+				VMSlots: map[string]int{"a": 8},
+				Ready:   func(vm string) bool { return vm != "3" },
+			}
+		},
+		NewID: func() string {
+			x.ids++
+			return fmt.Sprint("op", x.ids)
+		},
+	})
+	return x
+}
+
+func (x *moverFixture) fleet() Fleet {
+	item, err := x.store.Get(x.t.Context(), "fleet/r")
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	f, err := Decode("r", item.Value)
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	return f
+}
+
+// run makes a step each second and returns the number of VMs in pool a.
+func (x *moverFixture) run(d time.Duration, demand float64) int {
+	x.demand = demand
+	for end := x.now.Add(d); x.now.Before(end); x.now = x.now.Add(time.Second) {
+		err := x.mover.Step(x.t.Context(), x.now, x.fleet())
+		if err != nil && !errors.Is(err, storer.ErrOutcomeUnknown) {
+			x.t.Fatal(err)
+		}
+	}
+	n := 0
+	for _, vm := range x.fleet().VMs {
+		if vm.Pool == "a" {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a spare pool that no pool borrows from, against moves for short
+// peaks, against VMs that never return or were not lent, and against loans of a VM that does not answer.
+func TestMoverLendsAndTakesBack(t *testing.T) {
+	x := newMoverFixture(t)
+	if n := x.run(3*time.Second, 60); n != 3 {
+		t.Errorf("a peak of 3 s: %d VMs, want 3", n)
+	}
+	if n := x.run(time.Minute, 60); n != 5 {
+		t.Errorf("a lasting peak: %d VMs, want 5: the spare pool keeps one", n)
+	}
+	if pool := x.fleet().VMs["3"].Pool; pool != "spare" {
+		t.Errorf("a VM that does not answer was lent to %s", pool)
+	}
+	if n := x.run(10*time.Minute, 0); n != 3 {
+		t.Errorf("after the peak: %d VMs, want 3", n)
+	}
+	for _, id := range []string{"0", "1", "2"} {
+		if pool := x.fleet().VMs[id].Pool; pool != "a" {
+			t.Errorf("%s is in %s, but was never lent", id, pool)
+		}
+	}
+}
+
+// Guards against a move that is made twice, or for another VM as well, when its answer
+// was lost and the first write took effect.
+func TestMoverMakesAMoveOnceWhenItsAnswerIsLost(t *testing.T) {
+	x := newMoverFixture(t)
+	writes := 0
+	x.faulty.After = func(_ context.Context, op storer.Op, _ string) error {
+		if op != storer.OpCompareAndSwap {
+			return nil
+		}
+		writes++
+		return storer.ErrOutcomeUnknown
+	}
+	if n := x.run(30*time.Second, 30); n != 4 {
+		t.Errorf("%d VMs, want 4: one more is wanted", n)
+	}
+	if writes != 1 || x.ids != 1 {
+		t.Errorf("%d writes with %d operation ids for one move", writes, x.ids)
+	}
+}
+
+// Guards against a new leaseholder that acts on what it saw in an earlier term.
+func TestMoverForgetsOnReset(t *testing.T) {
+	x := newMoverFixture(t)
+	x.run(4*time.Second, 60)
+	x.mover.Reset()
+	x.now = x.now.Add(time.Minute)
+	if n := x.run(4*time.Second, 60); n != 3 {
+		t.Errorf("%d VMs after 4 s in the new term, want 3", n)
+	}
+}
--- a/pkg/planner/transition.go
+++ b/pkg/planner/transition.go
@@ -65,6 +65,12 @@
 		return f, Error.New("%w: %s has %d serving VMs", ErrMinimum, from, serving)
 	}
 	f = f.clone()
+	switch {
+	case pools[to].Spare:
+		vm.LentBy = ""
+	case pools[from].Spare:
+		vm.LentBy = from
+	}
 	vm.Pool = to
 	vm.SinceMS = millis(now)
 	f.VMs[id] = vm
