Add the capacity subcommand

It drives the code of the daemon at three or more sizes and prints the points and a straight line through them: configuration polls and deltas, head reads, reports and connections between peers over QUIC, ledgers, fleet documents, the VM list, maintenance steps, shard commits and polls of targets.

Processor time is that of the whole process, so network series count both ends.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -24,6 +24,7 @@
 		checkCommand(),
 		settingsCommand(),
 		measureCommand(),
+		capacityCommand(),
 		versionCommand(),
 	}
 }
--- /dev/null
+++ b/internal/coordinator/exchange.go
@@ -0,0 +1,73 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/comfreyford/comfreyford/internal/dispatcher"
+	"github.com/comfreyford/comfreyford/internal/messenger"
+	"github.com/comfreyford/comfreyford/pkg/runner"
+)
+
+// Exchange sends and takes reports as an entry daemon does, without its other parts, so
+// that their cost can be measured.
+type Exchange struct {
+	entry    string
+	peers    *peers
+	reporter reporter
+}
+
+// NewExchange returns the exchange of one entry daemon.
+func NewExchange(entry string) *Exchange {
+	return &Exchange{
+		entry: entry,
+		peers: newPeers(hclog.NewNullLogger()),
+	}
+}
+
+// Handlers returns the handler of reports.
+func (x *Exchange) Handlers() map[messenger.Kind]messenger.Handler {
+	return map[messenger.Kind]messenger.Handler{
+		kindReport: messenger.Unary(func(_ context.Context, _ string, r report) (reportAnswer, error) {
+			x.peers.observe(r, time.Now())
+			return reportAnswer{}, nil
+		}),
+	}
+}
+
+// Report sends a peer the figures of so many teams, each of them changed and with work
+// in one pool, and of so many pools.
+func (x *Exchange) Report(ctx context.Context, m *messenger.Messenger, address string, teams, pools int) error {
+	spare, usage, demand := map[string]int{}, map[usageKey]runner.Resources{}, map[string]dispatcher.PoolDemand{}
+	for i := range teams {
+		team := fmt.Sprintf("team-%04d", i)
+		spare[team] = x.reporter.sent % 50
+		usage[usageKey{
+			pool: fmt.Sprintf("pool-%02d", i),
+			team: team,
+		}] = runner.Resources{
+			Slots:     1 + x.reporter.sent%50,
+			CPUMillis: 4000,
+			MemoryMB:  8000,
+		}
+	}
+	for i := range pools {
+		demand[fmt.Sprintf("pool-%02d", i)] = dispatcher.PoolDemand{QueuedSlots: 1 + x.reporter.sent%50}
+	}
+	changed := x.reporter.poolChanges(demand)
+	figures, used := x.reporter.changes(spare, usage)
+	_, err := messenger.Call[report, reportAnswer](ctx, m, address, kindReport, report{
+		Entry:       x.entry,
+		Incarnation: 1,
+		Revision:    1,
+		Address:     m.Addr(),
+		Zone:        "az-1",
+		Teams:       figures,
+		Usage:       used,
+		Pools:       changed,
+	})
+	return err
+}
