--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -32,6 +32,7 @@
 		operatorKeyCommand(),
 		measureCommand(),
 		latencyCommand(),
+		capacityCommand(),
 		versionCommand(),
 		referenceCommand(),
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -223,11 +223,14 @@
 
 // Running returns what this entry daemon runs, by pool and team.
 func (d *Dispatcher) Running() map[string]map[string]runner.Resources {
-	teams := d.cfg.Tree().Teams
+	teams := []string{""} // work on open queues
+	for team := range d.cfg.Tree().Teams {
+		teams = append(teams, team)
+	}
 	running := map[string]map[string]runner.Resources{}
 	for _, p := range d.allPools() {
 		p.mu.Lock()
-		for team := range teams {
+		for _, team := range teams {
 			if used := p.sched.Running(team); used != (runner.Resources{}) {
 				if running[p.name] == nil {
 					running[p.name] = map[string]runner.Resources{}
