--- a/pkg/journaler/blob.go
+++ b/pkg/journaler/blob.go
@@ -37,7 +37,7 @@
 		return blob, nil
 	}
 	blob.Inline = nil
-	blob.Key = fmt.Sprintf("%s%s/%s.%d", prefix, id, s.term, s.names.Add(1))
+	blob.Key = fmt.Sprintf("%s%02d/%s/%s.%d", prefix, s.cfg.Shard, id, s.term, s.names.Add(1))
 	sent := false
 	for {
 		if err := s.cfg.Limiter.Wait(ctx); err != nil {
--- a/pkg/journaler/commit.go
+++ b/pkg/journaler/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/storer"
@@ -12,8 +13,11 @@
 // run is the committer. Everything that arrives while it waits for the limiter
 // or for the store goes into the next commit.
 func (s *Shard) run() {
+	var sweeping sync.WaitGroup
 	defer close(s.idle)
+	defer sweeping.Wait()
 	defer s.cancel()
+	sweeping.Go(s.sweepKeys)
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
 	for {
--- a/pkg/journaler/harness_test.go
+++ b/pkg/journaler/harness_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -113,7 +114,8 @@
 				target: target,
 				owner:  o,
 			},
-			MayUse: o.mayUse,
+			MayUse:   o.mayUse,
+			SweepAge: time.Nanosecond,
 		})
 		w.owners = append(w.owners, o)
 	}
@@ -175,8 +177,11 @@
 	o.down = !o.down
 }
 
-func (o *owner) step(key string) error {
+func (o *owner) step(op storer.Op, key string) error {
 	o.mu.Lock()
+	if op == storer.OpList { // of the sweep, which belongs to no request
+		key = ""
+	}
 	if key == o.crashOn || strings.Count(key, "/") > 1 {
 		o.calls++
 		if o.calls == o.crashAt {
@@ -192,10 +197,10 @@
 	return nil
 }
 
-func (o *owner) before(_ context.Context, _ storer.Op, key string) error { return o.step(key) }
+func (o *owner) before(_ context.Context, op storer.Op, key string) error { return o.step(op, key) }
 
 func (o *owner) after(_ context.Context, op storer.Op, key string) error {
-	_ = o.step(key)
+	_ = o.step(op, key)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.lost > 0 && op == storer.OpCompareAndSwap {
@@ -237,6 +242,20 @@
 	return v, nil
 }
 
+// Delete checks that no record names the key, unless the record is about to be dropped.
+func (o *observed) Delete(ctx context.Context, key string, expected storer.Version) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, doc := range o.docs {
+		for id, r := range doc.Records {
+			if slices.Contains(r.keys(), key) && !r.expired(time.Now()) {
+				o.t.Errorf("%s lost its key %s", id, key)
+			}
+		}
+	}
+	return o.Store.Delete(ctx, key, expected)
+}
+
 // worker is a fake target that counts the runs of each identity.
 type worker struct {
 	mu       sync.Mutex
--- a/pkg/journaler/holder.go
+++ b/pkg/journaler/holder.go
@@ -48,6 +48,7 @@
 			Now:         h.j.cfg.Now,
 			CallTimeout: h.j.cfg.CallTimeout,
 			RetryDelay:  h.j.cfg.RetryDelay,
+			SweepAge:    h.j.cfg.SweepAge,
 		})
 		if err == nil {
 			h.serve(s)
--- a/pkg/journaler/journal.go
+++ b/pkg/journaler/journal.go
@@ -35,6 +35,7 @@
 	RecoveryTimeout time.Duration // until the outcome at an unreachable target is given up; default 60 s
 	SessionTTL      time.Duration // default 10 s
 	RenewInterval   time.Duration // default 3 s
+	SweepAge        time.Duration // of identities whose unnamed keys are deleted; default 15 min
 	MaxAttempts     int           // default 4
 	MaxRunning      int           // jobs that are placed or run at once; default 256
 	MaxRecovering   int           // targets that are examined at once, and tasks that are stopped at once; default 16
@@ -61,6 +62,7 @@
 		{&c.RecoveryTimeout, 60 * time.Second},
 		{&c.SessionTTL, 10 * time.Second},
 		{&c.RenewInterval, 3 * time.Second},
+		{&c.SweepAge, defaultSweepAge},
 	} {
 		if *d.value <= 0 {
 			*d.value = d.fallback
--- a/pkg/journaler/shard.go
+++ b/pkg/journaler/shard.go
@@ -33,6 +33,7 @@
 	Now         func() time.Time // default time.Now
 	CallTimeout time.Duration    // of one call to the store; default 2 s
 	RetryDelay  time.Duration    // between calls after a failure; default 100 ms
+	SweepAge    time.Duration    // of identities whose keys are looked at for unnamed ones; default 15 min
 }
 
 func (c ShardConfig) withDefaults() ShardConfig {
@@ -45,6 +46,9 @@
 	if c.RetryDelay <= 0 {
 		c.RetryDelay = 100 * time.Millisecond
 	}
+	if c.SweepAge <= 0 {
+		c.SweepAge = defaultSweepAge
+	}
 	return c
 }
 
--- a/pkg/journaler/shard_test.go
+++ b/pkg/journaler/shard_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,10 +20,11 @@
 func open(t testing.TB, store storer.Store, owner string, limiter Limiter) *Shard {
 	t.Helper()
 	s, err := OpenShard(t.Context(), ShardConfig{
-		Store:   store,
-		Shard:   ShardOf(idAt(time.Now(), 1)),
-		Owner:   owner,
-		Limiter: limiter,
+		Store:    store,
+		Shard:    ShardOf(idAt(time.Now(), 1)),
+		Owner:    owner,
+		Limiter:  limiter,
+		SweepAge: time.Nanosecond,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -164,6 +167,97 @@
 	})
 }
 
+// Guards against keys that stay for ever after a crash and against the deletion of
+// live ones, also by an owner that has not noticed its successor yet.
+func TestSweepDeletesOnlyUnnamedKeys(t *testing.T) {
+	body := make([]byte, 2*MaxInlineBytes)
+	put := func(t *testing.T, s *Shard, id uuid.UUID, named bool) string {
+		blob, err := s.putBlob(t.Context(), bodyPrefix, id, body, true)
+		if err == nil && named {
+			err = s.Change(t.Context(), func(d *Document, _ time.Time) error {
+				return d.Accept(id, Request{Queue: "q"}, blob)
+			})
+		}
+		if err != nil {
+			t.Error(err)
+		}
+		return blob.Key
+	}
+	for _, tt := range []struct {
+		name   string
+		writer string // who writes the key: the former owner, the present one, or its successor
+		named  bool
+		kept   bool
+	}{
+		{
+			name:   "left by a crash",
+			writer: "former",
+		},
+		{
+			name:   "named by a record of the former owner",
+			writer: "former",
+			named:  true,
+			kept:   true,
+		},
+		{
+			name:   "not committed yet",
+			writer: "present",
+			kept:   true,
+		},
+		{
+			name:   "named by a record of an unnoticed successor",
+			writer: "successor",
+			named:  true,
+			kept:   true,
+		},
+		{
+			name:   "not committed yet by an unnoticed successor",
+			writer: "successor",
+			kept:   true,
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory, id := storer.NewMemory(), idAt(time.Now(), 1)
+				ofID := fmt.Sprintf("%s%02d/%s", bodyPrefix, ShardOf(id), id)
+				var key string
+				shards := []*Shard{open(t, memory, "former", &Pacer{})}
+				if tt.writer == "former" {
+					key = put(t, shards[0], id, tt.named)
+				}
+				succeeded := tt.writer != "successor"
+				present := open(t, &storer.Faulty{
+					Store: memory,
+					Before: func(_ context.Context, op storer.Op, prefix string) error {
+						if op == storer.OpList && strings.HasPrefix(ofID, prefix) && !succeeded {
+							succeeded = true
+							successor := open(t, memory, "successor", &Pacer{})
+							shards = append(shards, successor)
+							key = put(t, successor, id, tt.named)
+						}
+						return nil
+					},
+				}, "present", &Pacer{})
+				if tt.writer == "present" {
+					key = put(t, present, id, tt.named)
+				}
+				found, err := present.unnamed(t.Context(), bodyPrefix, time.Now())
+				if slices.Contains(found, key) == tt.kept || (err != nil) != (tt.writer == "successor") {
+					t.Errorf("found %v, %v", found, err)
+				}
+				time.Sleep(time.Minute)
+				item, err := memory.Get(t.Context(), key)
+				if kept := item.Version != 0; err != nil || key == "" || kept != tt.kept {
+					t.Errorf("%s is kept: %t, %v", key, kept, err)
+				}
+				for _, s := range append(shards, present) {
+					_ = s.Close(t.Context())
+				}
+			})
+		})
+	}
+}
+
 // Guards against a wave of cancellations that keeps starts out of the commits.
 func TestCancellationsDoNotStarveStarts(t *testing.T) {
 	s := &Shard{}
