Test the first revocation, cancellation waves and the bound of stop calls

Cause: no test failed when examine did not revoke the session before its lookup, when the stops of a cancellation wave held the slots of new jobs, or when all stops ran at once.

Change: TestSessionIsRevokedBeforeTheLookup, TestCancellationWaveLeavesTheSlots, and TestCallsToTargetsAreBounded, which replaces TestRecoveryIsBounded with the same bound for recovery and adds the stops.

Conclusion: each of the three properties has a test that fails without it.

--- a/pkg/journaler/limits_test.go
+++ b/pkg/journaler/limits_test.go
@@ -263,29 +263,140 @@
 	})
 }
 
-// slowTarget counts the revocations that run at the same time.
+// slowTarget counts the calls that run at the same time.
 type slowTarget struct {
 	runner.Target
 	now, peak atomic.Int64
 }
 
-func (s *slowTarget) RevokeSession(context.Context, string) (runner.Revocation, error) {
+func (s *slowTarget) wait() error {
 	s.peak.Store(max(s.peak.Load(), s.now.Add(1)))
 	time.Sleep(time.Second)
 	s.now.Add(-1)
-	return runner.Revocation{}, errAway
+	return errAway
+}
+
+func (s *slowTarget) RevokeSession(context.Context, string) (runner.Revocation, error) {
+	return runner.Revocation{}, s.wait()
+}
+
+func (s *slowTarget) Stop(context.Context, string) error { return s.wait() }
+
+// Guards against a takeover that examines all targets at once, and against a wave
+// of cancellations that stops all tasks at once.
+func TestCallsToTargetsAreBounded(t *testing.T) {
+	id := idAt(time.Now(), 1)
+	for name, call := range map[string]func(ctx context.Context, tn *tenure, target runner.Target){
+		"recovery": func(ctx context.Context, tn *tenure, target runner.Target) {
+			_, _ = tn.examine(ctx, target, Record{})
+		},
+		"stop": func(ctx context.Context, tn *tenure, _ runner.Target) { tn.stopCancelled(ctx, id) },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			target, doc := &slowTarget{}, NewDocument()
+			doc.put(Record{
+				ID:      id,
+				State:   StateCancelled,
+				Attempt: Attempt{Task: "t"},
+			})
+			tn := newTenure(New(Config{
+				Targets: func(string) (runner.Target, error) { return target, nil },
+			}), &Shard{doc: doc})
+			for range 100 {
+				tn.wg.Go(func() { call(t.Context(), tn, target) })
+			}
+			tn.wg.Wait()
+			if target.peak.Load() != 16 {
+				t.Errorf("%s: %d at once, want 16", name, target.peak.Load())
+			}
+		})
+	}
+}
+
+// racing delivers a start right after the lookup of its task.
+type racing struct {
+	runner.Target
+	start func()
+}
+
+func (r *racing) Status(ctx context.Context, id string) (runner.Status, error) {
+	defer r.start()
+	return r.Target.Status(ctx, id)
+}
+
+// Guards against "not run" of a task that starts after its lookup: the session must
+// be revoked before.
+func TestSessionIsRevokedBeforeTheLookup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, ids := newWorld(t, 1), newIDs(1)
+		o := w.owners[0]
+		a := w.attempt(o, ids[0])
+		target, _ := o.j.cfg.Targets("w")
+		late := &racing{
+			Target: target,
+			start: func() {
+				_, _ = w.worker.start(runner.Task{
+					ID:       a.Task,
+					Session:  a.Session,
+					Boot:     a.Boot,
+					Identity: ids[0].String(),
+				}, nil)
+			},
+		}
+		action, err := newTenure(o.j, nil).examine(t.Context(), late, Record{Attempt: *a})
+		if runs := w.worker.runs[ids[0].String()]; err != nil || action != ActionNotRun || runs != 0 {
+			t.Errorf("%s, %v, %d runs", action, err, runs)
+		}
+	})
+}
+
+// silentStops answers no call that stops a task.
+type silentStops struct {
+	runner.Target
+	calls atomic.Int64
 }
 
-// Guards against a takeover that examines all targets at once.
-func TestRecoveryIsBounded(t *testing.T) {
+func (s *silentStops) Stop(ctx context.Context, _ string) error {
+	s.calls.Add(1)
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against a wave of cancellations at a silent target that holds the slots of
+// new jobs, and against tasks that nobody asks to stop.
+func TestCancellationWaveLeavesTheSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tn, target := newTenure(New(Config{}), nil), &slowTarget{}
-		for range 100 {
-			tn.wg.Go(func() { _, _ = tn.examine(t.Context(), target, Record{}) })
+		const jobs = 4
+		w, ids := newWorld(t, 1), newIDs(2*jobs)
+		o := w.owners[0]
+		o.free = 2 * jobs
+		o.j.running = make(chan struct{}, jobs)
+		target, _ := o.j.cfg.Targets("w")
+		silent := &silentStops{Target: target}
+		o.j.cfg.Targets = func(string) (runner.Target, error) { return silent, nil }
+		w.members("a")
+		time.Sleep(time.Second)
+		for _, id := range ids[:jobs] {
+			w.submit(o, id, request(1))
+		}
+		time.Sleep(time.Second)
+		for _, id := range ids[:jobs] {
+			w.wg.Go(func() { _, _ = o.j.Cancel(t.Context(), id, "team") })
+		}
+		synctest.Wait()
+		for _, id := range ids[jobs:] {
+			w.submit(o, id, request(1))
+		}
+		time.Sleep(o.j.cfg.PlaceDelay + 100*time.Millisecond) // a stop waits for 2 s
+		for _, id := range ids {
+			if runs := w.worker.runs[id.String()]; runs != 1 {
+				t.Errorf("%s ran %d times", id, runs)
+			}
 		}
-		tn.wg.Wait()
-		if target.peak.Load() != 16 {
-			t.Errorf("%d at once, want 16", target.peak.Load())
+		if silent.calls.Load() != jobs {
+			t.Errorf("%d stops, want %d", silent.calls.Load(), jobs)
 		}
+		o.j.Close(t.Context())
+		w.wg.Wait()
 	})
 }
