--- a/pkg/journaler/document_test.go
+++ b/pkg/journaler/document_test.go
@@ -35,7 +35,12 @@
 	t.Helper()
 	d, id := NewDocument(), idAt(baseTime, 1)
 	steps := []func() error{
-		func() error { return d.Accept(id, Request{Idempotent: idempotent, Team: "a"}, inlineBlob(nil)) },
+		func() error {
+			return d.Accept(id, Request{
+				Idempotent: idempotent,
+				Team:       "a",
+			}, inlineBlob(nil))
+		},
 		func() error { return d.Start(id, Attempt{Task: "t"}) },
 		func() error {
 			switch state {
@@ -122,13 +127,26 @@
 			"accept": func(t *rapid.T) {
 				n++
 				body := inlineBlob(rapid.SliceOfN(rapid.Byte(), 0, MaxInlineBytes).Draw(t, "body"))
-				_ = d.Accept(idAt(baseTime, n), Request{Queue: name("q"), Path: name("p"), Idempotent: true}, body)
+				_ = d.Accept(idAt(baseTime, n), Request{
+					Queue:      name("q"),
+					Path:       name("p"),
+					Idempotent: true,
+				}, body)
 			},
 			"start": func(*rapid.T) {
-				_ = d.Start(pick(), Attempt{Task: "t", Target: name("t"), Boot: name("b"), Session: name("s")})
+				_ = d.Start(pick(), Attempt{
+					Task:    "t",
+					Target:  name("t"),
+					Boot:    name("b"),
+					Session: name("s"),
+				})
 			},
 			"finish": func(*rapid.T) {
-				_ = d.Finish(pick(), "t", Result{Type: name("c"), Key: name("k"), Digest: 1 << 60}, baseTime)
+				_ = d.Finish(pick(), "t", Result{
+					Type:   name("c"),
+					Key:    name("k"),
+					Digest: 1 << 60,
+				}, baseTime)
 			},
 			"retry":  func(*rapid.T) { _ = d.Retry(pick(), "t", 2, baseTime) },
 			"fail":   func(*rapid.T) { _ = d.Fail(pick(), Verdict(name("v")), baseTime) },
@@ -167,8 +185,16 @@
 	}
 	for _, id := range ids {
 		if err := errors.Join(
-			d.Start(id, Attempt{Task: long, Target: long, Boot: long, Session: long}),
-			d.Finish(id, long, Result{Type: long, Key: long}, baseTime),
+			d.Start(id, Attempt{
+				Task:    long,
+				Target:  long,
+				Boot:    long,
+				Session: long,
+			}),
+			d.Finish(id, long, Result{
+				Type: long,
+				Key:  long,
+			}, baseTime),
 		); err != nil {
 			t.Fatal(err)
 		}
@@ -278,11 +304,29 @@
 		id   uuid.UUID
 		want error
 	}{
-		{name: "new", id: idAt(baseTime, 1)},
-		{name: "not version 7", id: uuid.UUID{6: 0x40, 8: 0x80}, want: ErrBadIdentity},
-		{name: "in the future", id: idAt(baseTime.Add(61*time.Second), 1), want: ErrBadIdentity},
-		{name: "slightly ahead", id: idAt(baseTime.Add(59*time.Second), 1)},
-		{name: "old", id: idAt(baseTime.Add(-9*time.Minute-time.Millisecond), 1), want: ErrIdentityExpired},
+		{
+			name: "new",
+			id:   idAt(baseTime, 1),
+		},
+		{
+			name: "not version 7",
+			id:   uuid.UUID{6: 0x40, 8: 0x80},
+			want: ErrBadIdentity,
+		},
+		{
+			name: "in the future",
+			id:   idAt(baseTime.Add(61*time.Second), 1),
+			want: ErrBadIdentity,
+		},
+		{
+			name: "slightly ahead",
+			id:   idAt(baseTime.Add(59*time.Second), 1),
+		},
+		{
+			name: "old",
+			id:   idAt(baseTime.Add(-9*time.Minute-time.Millisecond), 1),
+			want: ErrIdentityExpired,
+		},
 	} {
 		if err := CheckNew(tt.id, baseTime); !errors.Is(err, tt.want) {
 			t.Errorf("%s: %v", tt.name, err)
--- a/pkg/journaler/journal_test.go
+++ b/pkg/journaler/journal_test.go
@@ -318,12 +318,25 @@
 		runs   int
 		want   Verdict
 	}{
-		{name: "never runs", change: func(_ *world, r *Request) { r.Queue = "never" }, want: VerdictCannotRun},
-		{name: "always fails", change: func(w *world, _ *Request) { w.worker.status = 500 }, runs: 4, want: VerdictAttemptsExhausted},
-		{name: "no target", change: func(w *world, r *Request) {
-			w.worker.away = true
-			r.DeadlineMS = time.Now().Add(20 * time.Second).UnixMilli()
-		}, want: VerdictDeadlineExceeded},
+		{
+			name:   "never runs",
+			change: func(_ *world, r *Request) { r.Queue = "never" },
+			want:   VerdictCannotRun,
+		},
+		{
+			name:   "always fails",
+			change: func(w *world, _ *Request) { w.worker.status = 500 },
+			runs:   4,
+			want:   VerdictAttemptsExhausted,
+		},
+		{
+			name: "no target",
+			change: func(w *world, r *Request) {
+				w.worker.away = true
+				r.DeadlineMS = time.Now().Add(20 * time.Second).UnixMilli()
+			},
+			want: VerdictDeadlineExceeded,
+		},
 		{
 			// The sessions that are opened before the store is back lapse without a start.
 			name: "store down for longer than a session lives",
@@ -364,27 +377,30 @@
 
 // Guards against "not run" from a worker that has forgotten the task.
 func TestDecide(t *testing.T) {
-	for _, tt := range []struct {
-		name       string
-		evidence   Evidence
-		want       Action // non-idempotent
-		idempotent Action
-	}{
-		{name: "unknown task", evidence: Evidence{BootBefore: "1", BootAfter: "1"}, want: ActionNotRun, idempotent: ActionNotRun},
-		{name: "restarted before", evidence: Evidence{BootBefore: "2", BootAfter: "2"}, want: ActionUnknown, idempotent: ActionRetry},
-		{name: "restarted during the lookup", evidence: Evidence{BootBefore: "1", BootAfter: "2"}, want: ActionUnknown, idempotent: ActionRetry},
-		{name: "running", evidence: Evidence{State: runner.StateRunning}, want: ActionAdopt, idempotent: ActionAdopt},
-		{name: "checkpointed", evidence: Evidence{State: runner.StateCheckpointed}, want: ActionAdopt, idempotent: ActionAdopt},
-		{name: "done", evidence: Evidence{State: runner.StateDone}, want: ActionAnswer, idempotent: ActionAnswer},
-		{name: "stopped", evidence: Evidence{State: runner.StateStopped}, want: ActionUnknown, idempotent: ActionRetry},
-	} {
-		r := Record{Attempt: Attempt{Boot: "1"}}
-		if got := Decide(r, tt.evidence); got != tt.want {
-			t.Errorf("%s: %s", tt.name, got)
+	const recorded, other = "1", "2"
+	unknown := func(before, after string) Evidence {
+		return Evidence{
+			BootBefore: before,
+			BootAfter:  after,
 		}
-		r.Idempotent = true
-		if got := Decide(r, tt.evidence); got != tt.idempotent {
-			t.Errorf("%s, idempotent: %s", tt.name, got)
+	}
+	for e, want := range map[Evidence][2]Action{ // for non-idempotent and for idempotent requests
+		unknown(recorded, recorded):       {ActionNotRun, ActionNotRun},
+		unknown(other, other):             {ActionUnknown, ActionRetry},
+		unknown(recorded, other):          {ActionUnknown, ActionRetry}, // restarted during the lookup
+		{State: runner.StateRunning}:      {ActionAdopt, ActionAdopt},
+		{State: runner.StateCheckpointed}: {ActionAdopt, ActionAdopt},
+		{State: runner.StateDone}:         {ActionAnswer, ActionAnswer},
+		{State: runner.StateStopped}:      {ActionUnknown, ActionRetry},
+	} {
+		for n, idempotent := range []bool{false, true} {
+			r := Record{
+				Request: Request{Idempotent: idempotent},
+				Attempt: Attempt{Boot: recorded},
+			}
+			if got := Decide(r, e); got != want[n] {
+				t.Errorf("%+v, idempotent %t: %s, want %s", e, idempotent, got, want[n])
+			}
 		}
 	}
 }
--- a/pkg/journaler/limits_test.go
+++ b/pkg/journaler/limits_test.go
@@ -24,7 +24,11 @@
 		j, req := w.owners[0].j, request(1)
 		ids := newIDs(3)
 		send := func(n, size int) error {
-			_, err := j.Submit(ctx, Submission{ID: ids[n], Request: req, Body: make([]byte, size)})
+			_, err := j.Submit(ctx, Submission{
+				ID:      ids[n],
+				Request: req,
+				Body:    make([]byte, size),
+			})
 			return err
 		}
 		if err := errors.Join(send(0, MaxBlobBytes/2), send(0, MaxBlobBytes/2)); err != nil {
--- a/pkg/journaler/shard_test.go
+++ b/pkg/journaler/shard_test.go
@@ -34,7 +34,10 @@
 
 func accept(ctx context.Context, s *Shard, id uuid.UUID) error {
 	return s.Change(ctx, func(d *Document, _ time.Time) error {
-		return d.Accept(id, Request{Queue: "q", Team: "a"}, inlineBlob(nil))
+		return d.Accept(id, Request{
+			Queue: "q",
+			Team:  "a",
+		}, inlineBlob(nil))
 	})
 }
 
@@ -63,13 +66,46 @@
 		want   Effect
 		reason error
 	}{
-		{name: "plain", want: EffectApplied},
-		{name: "refused", before: storer.ErrUnavailable, want: EffectNone, reason: ErrUnavailable},
-		{name: "lost before", before: storer.ErrOutcomeUnknown, want: EffectApplied},
-		{name: "lost after", after: storer.ErrOutcomeUnknown, want: EffectApplied},
-		{name: "conflict", steal: "before", want: EffectNone, reason: ErrOwnershipLost},
-		{name: "lost, then stolen", before: storer.ErrOutcomeUnknown, steal: "before", want: EffectNone, reason: ErrOwnershipLost},
-		{name: "applied, then stolen", after: storer.ErrOutcomeUnknown, steal: "after", want: EffectApplied, reason: ErrOwnershipLost},
+		{
+			name: "plain",
+			want: EffectApplied,
+		},
+		{
+			name:   "refused",
+			before: storer.ErrUnavailable,
+			want:   EffectNone,
+			reason: ErrUnavailable,
+		},
+		{
+			name:   "lost before",
+			before: storer.ErrOutcomeUnknown,
+			want:   EffectApplied,
+		},
+		{
+			name:  "lost after",
+			after: storer.ErrOutcomeUnknown,
+			want:  EffectApplied,
+		},
+		{
+			name:   "conflict",
+			steal:  "before",
+			want:   EffectNone,
+			reason: ErrOwnershipLost,
+		},
+		{
+			name:   "lost, then stolen",
+			before: storer.ErrOutcomeUnknown,
+			steal:  "before",
+			want:   EffectNone,
+			reason: ErrOwnershipLost,
+		},
+		{
+			name:   "applied, then stolen",
+			after:  storer.ErrOutcomeUnknown,
+			steal:  "after",
+			want:   EffectApplied,
+			reason: ErrOwnershipLost,
+		},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -334,9 +370,27 @@
 		id := idAt(baseTime.Add(time.Duration(n)*time.Millisecond), 1)
 		task := id.String() + ".1"
 		if err := errors.Join(
-			d.Accept(id, Request{Queue: "reorder", Team: "craie", Method: "POST", Path: "/plans", DeadlineMS: baseTime.UnixMilli()}, inlineBlob(make([]byte, 64))),
-			d.Start(id, Attempt{Task: task, Target: "10.0.0.12:7000", Boot: uuid.NewString(), Session: task}),
-			d.Finish(id, task, Result{Status: 200, Kept: true, Type: "application/json", Inline: make([]byte, 64), Size: 64, Digest: 1 << 60}, baseTime),
+			d.Accept(id, Request{
+				Queue:      "reorder",
+				Team:       "craie",
+				Method:     "POST",
+				Path:       "/plans",
+				DeadlineMS: baseTime.UnixMilli(),
+			}, inlineBlob(make([]byte, 64))),
+			d.Start(id, Attempt{
+				Task:    task,
+				Target:  "10.0.0.12:7000",
+				Boot:    uuid.NewString(),
+				Session: task,
+			}),
+			d.Finish(id, task, Result{
+				Status: 200,
+				Kept:   true,
+				Type:   "application/json",
+				Inline: make([]byte, 64),
+				Size:   64,
+				Digest: 1 << 60,
+			}, baseTime),
 		); err != nil {
 			b.Fatal(err)
 		}
