Add peer_advertise_address and links between processes of the demo

Cause: tests of cut-off zones need relays between the processes, and an entry daemon could only announce the address of its own peer listener.

Change: the setting peer_advertise_address is the address that goes into the member record and the reports; empty means the peer listener. The demonstrator takes a function that chooses the links of each entry daemon, and exports Kill.

An entry daemon now reads the member list when a report comes from a peer that is not in it. Found by the process-level test of an outage: the list was read once per heartbeat (5 s), a member that did not know another one refused its promise with unknown_member, and keyed work at two of four entry daemons was refused with config_stale for the whole outage when it began in the first seconds after a start. Ruled out: established state, pending changes, revisions (the answers of the promises were traced). Reads are bounded to one per second.

--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -78,6 +78,7 @@
 	listeners   []net.Listener
 	ready       atomic.Bool
 	settled     settled
+	learning    atomic.Bool // the member list is being read for a new peer
 	wg          sync.WaitGroup
 }
 
@@ -162,6 +163,14 @@
 	return nil
 }
 
+// peerAddress returns the address under which peers reach this entry daemon.
+func (e *Entry) peerAddress() string {
+	if address := e.cfg.Settings.PeerAdvertiseAddress; address != "" {
+		return address
+	}
+	return e.messenger.Addr()
+}
+
 func (e *Entry) buildParts() {
 	s := e.cfg.Settings
 	timing := registrar.DefaultTiming()
@@ -172,7 +181,7 @@
 		Self: registrar.Member{
 			Entry:            s.Name,
 			Incarnation:      e.incarnation,
-			Address:          e.messenger.Addr(),
+			Address:          e.peerAddress(),
 			AvailabilityZone: s.AvailabilityZone,
 		},
 		Timing: timing,
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -197,7 +197,7 @@
 		Entry:       e.cfg.Settings.Name,
 		Incarnation: e.incarnation,
 		Revision:    e.view.Current().Tree.Revision,
-		Address:     e.messenger.Addr(),
+		Address:     e.peerAddress(),
 		Zone:        e.cfg.Settings.AvailabilityZone,
 		Teams:       teams,
 		Usage:       used,
@@ -206,7 +206,7 @@
 
 // reportAddresses returns the addresses of the members and the peers of first contact.
 func (e *Entry) reportAddresses() []string {
-	seen := map[string]bool{e.messenger.Addr(): true}
+	seen := map[string]bool{e.peerAddress(): true}
 	var addresses []string
 	add := func(address string) {
 		if !seen[address] {
@@ -232,7 +232,15 @@
 	}
 	now := time.Now()
 	e.peers.observe(r, now)
-	e.registrar.Do(func(s *registrar.State, now time.Time) { s.ObserveReport(r.Entry, r.Incarnation, r.Revision, now) })
+	known := false
+	e.registrar.Do(func(s *registrar.State, now time.Time) {
+		o := s.Others[r.Entry]
+		known = o != nil && o.Member.Incarnation == r.Incarnation
+		s.ObserveReport(r.Entry, r.Incarnation, r.Revision, now)
+	})
+	if !known {
+		e.learnMember()
+	}
 	for _, t := range r.Teams {
 		e.limits.ObserveSpare(limiter.HolderID{
 			Entry:       r.Entry,
@@ -242,6 +250,25 @@
 	return reportAnswer{}, nil
 }
 
+// learnMember reads the member list because a peer is not in it yet. A member gives
+// promises only to members that it knows, and the next regular read may come after
+// the key-value service went down.
+func (e *Entry) learnMember() {
+	if !e.learning.CompareAndSwap(false, true) {
+		return
+	}
+	e.wg.Go(func() {
+		defer e.learning.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
+		defer cancel()
+		if err := e.registrar.RefreshMembers(ctx); err != nil {
+			e.logger("members").Debug("member list not read", "error", err)
+		}
+		// One read a second at most, also while a peer has no record.
+		pause(ctx, syncTimeout)
+	})
+}
+
 // followMembers gives the journal its live members and the queues the usage of peers.
 func (e *Entry) followMembers(ctx context.Context) error {
 	return every(ctx, memberInterval, func() {
--- a/internal/demonstrator/demo.go
+++ b/internal/demonstrator/demo.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return Summary{}, Error.Wrap(err)
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	options.Dir = dir
 	in, err := Start(ctx, options.Config)
 	if err != nil {
@@ -38,7 +38,7 @@
 	}
 	summary, err := in.demo(ctx, options)
 	if err != nil {
-		in.killAll()
+		in.Kill()
 		return summary, err
 	}
 	in.progress("stopping")
--- a/internal/demonstrator/installation.go
+++ b/internal/demonstrator/installation.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -24,7 +23,6 @@
 
 	"github.com/comfreyford/comfreyford/internal/emulator"
 	"github.com/comfreyford/comfreyford/internal/messenger"
-	"github.com/comfreyford/comfreyford/internal/server"
 	"github.com/comfreyford/comfreyford/pkg/configurer"
 	"github.com/comfreyford/comfreyford/pkg/planner"
 	"github.com/comfreyford/comfreyford/pkg/storer"
@@ -47,6 +45,14 @@
 	Zones          int
 	EntriesPerZone int
 	Log            io.Writer // progress, one line a step
+	// Links puts relays between an entry daemon and the others; nil means direct links.
+	Links func(e *EntryProcess, platform string) (Links, error)
+}
+
+// Links are the addresses through which an entry daemon is connected.
+type Links struct {
+	Platform string // under which it reaches the platform
+	Peers    string // under which the other entry daemons reach it
 }
 
 // EntryProcess is one entry daemon.
@@ -58,6 +64,7 @@
 	Operator string
 	Metrics  string
 	Peers    string
+	links    Links
 }
 
 // WorkerProcess is one worker emulator.
@@ -125,7 +132,7 @@
 	} {
 		in.progress("%s", step.name)
 		if err := step.do(ctx); err != nil {
-			in.killAll()
+			in.Kill()
 			return nil, errors.Join(err, in.lastLog())
 		}
 	}
@@ -241,8 +248,11 @@
 				Peers:    freeAddress("udp"),
 			}
 			e.Settings = filepath.Join(in.cfg.Dir, e.Name+".toml")
+			if err := in.link(e); err != nil {
+				return err
+			}
 			in.Entries = append(in.Entries, e)
-			contacts = append(contacts, e.Peers)
+			contacts = append(contacts, e.links.Peers)
 		}
 	}
 	hash := sha256.Sum256([]byte(operatorKey))
@@ -259,6 +269,7 @@
 operator_address = %q
 metrics_address = %q
 peer_address = %q
+peer_advertise_address = %q
 platform_address = "http://%s"
 contact_peers = ["%s"]
 certificate_file = %q
@@ -266,7 +277,7 @@
 ca_files = [%q]
 operator_key_sha256 = %q
 drain_delay = "200ms"
-`, e.Name, region, e.Zone, e.Callers, e.Operator, e.Metrics, e.Peers, in.Platform.Address,
+`, e.Name, region, e.Zone, e.Callers, e.Operator, e.Metrics, e.Peers, e.links.Peers, e.links.Platform,
 			strings.Join(contacts, `", "`), certificate, key, ca, hex.EncodeToString(hash[:]))
 		if err := os.WriteFile(e.Settings, []byte(text), 0o600); err != nil {
 			return Error.Wrap(err)
@@ -275,11 +286,25 @@
 	return nil
 }
 
+// link sets the addresses through which e is connected.
+func (in *Installation) link(e *EntryProcess) error {
+	e.links = Links{
+		Platform: in.Platform.Address,
+		Peers:    e.Peers,
+	}
+	if in.cfg.Links == nil {
+		return nil
+	}
+	var err error
+	e.links, err = in.cfg.Links(e, in.Platform.Address)
+	return err
+}
+
 // freeAddress returns a loopback address with a port that was free a moment ago.
 func freeAddress(network string) string {
 	if network == "udp" {
 		if conn, err := net.ListenPacket("udp", "127.0.0.1:0"); err == nil {
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			return conn.LocalAddr().String()
 		}
 		return ""
@@ -334,60 +359,6 @@
 	return Error.Wrap(err)
 }
 
-// Operate calls the operator API of an entry daemon.
-func (in *Installation) Operate(ctx context.Context, e *EntryProcess, method, path string, body, answer any) error {
-	content, err := json.Marshal(body)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.Operator+path, strings.NewReader(string(content)))
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	req.Header.Set(server.OperatorKeyHeader, operatorKey)
-	return in.do(req, answer)
-}
-
-// Admin calls the admin API of an emulator.
-func (in *Installation) Admin(ctx context.Context, p *Process, method, path string, body, answer any) error {
-	content, err := json.Marshal(body)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.Address+path, strings.NewReader(string(content)))
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	return in.do(req, answer)
-}
-
-func (in *Installation) get(url string, answer any) error {
-	req, err := http.NewRequest(http.MethodGet, url, nil)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	return in.do(req, answer)
-}
-
-func (in *Installation) do(req *http.Request, answer any) error {
-	resp, err := in.client.Do(req)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	defer resp.Body.Close()
-	content, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
-		return Error.New("%s %s: %s: %s", req.Method, req.URL.Path, resp.Status, strings.TrimSpace(string(content)))
-	}
-	if answer == nil {
-		return nil
-	}
-	return Error.Wrap(json.Unmarshal(content, answer))
-}
-
 // awaitTargets waits until every entry daemon uses all targets under the newest tree.
 func (in *Installation) awaitTargets(ctx context.Context) error {
 	for _, e := range in.Entries {
@@ -418,17 +389,6 @@
 	return nil
 }
 
-// Metrics returns the metrics page of an entry daemon.
-func (in *Installation) Metrics(e *EntryProcess) (string, error) {
-	resp, err := in.client.Get("http://" + e.Metrics + "/metrics")
-	if err != nil {
-		return "", Error.Wrap(err)
-	}
-	defer resp.Body.Close()
-	content, err := io.ReadAll(resp.Body)
-	return string(content), Error.Wrap(err)
-}
-
 // await repeats check until it succeeds.
 func (in *Installation) await(ctx context.Context, what string, check func() error) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
@@ -475,7 +435,8 @@
 	return errors.Join(err, in.Platform.Stop(ctx), in.log.Close())
 }
 
-func (in *Installation) killAll() {
+// Kill ends all processes at once.
+func (in *Installation) Kill() {
 	for _, e := range in.Entries {
 		if e.cmd != nil {
 			e.Kill()
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -41,12 +41,13 @@
 	Region           string
 	AvailabilityZone string
 
-	CallerAddress   string
-	OperatorAddress string
-	MetricsAddress  string
-	PeerAddress     string
-	PlatformAddress string
-	ContactPeers    []string
+	CallerAddress        string
+	OperatorAddress      string
+	MetricsAddress       string
+	PeerAddress          string
+	PeerAdvertiseAddress string // empty: the address of the peer listener
+	PlatformAddress      string
+	ContactPeers         []string
 
 	CertificateFile   string
 	PrivateKeyFile    string
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -43,6 +43,9 @@
 	if s.InteractiveTimeout != 30*time.Second || s.DeferrableTimeout != time.Hour || s.DrainDelay != time.Second {
 		t.Errorf("timeouts: %+v", s)
 	}
+	if s.PeerAdvertiseAddress != "" {
+		t.Errorf("advertised address: %q, want that of the listener", s.PeerAdvertiseAddress)
+	}
 	if s.ReportInterval != 250*time.Millisecond || s.ConfigPollInterval != 500*time.Millisecond || s.HeartbeatInterval != 5*time.Second {
 		t.Errorf("intervals: %+v", s)
 	}
@@ -57,6 +60,7 @@
 		{name: "upper case", old: `region =`, new: `Region =`, want: `entry.toml:2: Region: unknown key`},
 		{name: "missing", old: `region = "north"`, want: `entry.toml: region: missing; want a string`},
 		{name: "wrong type", old: `"entry-1"`, new: `1`, want: `entry.toml:1: name: got 1; want a string`},
+		{name: "host name of the advertised address", new: "peer_advertise_address = \"entry:1\"\n", want: `entry.toml:13: peer_advertise_address: got "entry:1"; want an IP address`},
 		{name: "host name", old: `127.0.0.1:8081`, new: `localhost:8081`, want: `entry.toml:5: operator_address: got "localhost:8081"; want an IP address`},
 		{name: "port", old: `127.0.0.1:8081`, new: `127.0.0.1:65536`, want: `entry.toml:5: operator_address: got "127.0.0.1:65536"`},
 		{name: "same address", old: `127.0.0.1:8082`, new: `127.0.0.1:8081`, want: `metrics_address: got "127.0.0.1:8081", which is also operator_address`},
--- a/internal/loader/table.go
+++ b/internal/loader/table.go
@@ -17,6 +17,7 @@
 	typeName      = "name"
 	typeAddress   = "address"
 	typeURL       = "URL"
+	typeAdvertise = "address or empty"
 	typeAddresses = "list of addresses"
 	typeFile      = "file"
 	typeFiles     = "list of files"
@@ -66,6 +67,7 @@
 		text("operator_address", typeAddress, nil, "listener for operators", func(s *Settings) *string { return &s.OperatorAddress }),
 		text("metrics_address", typeAddress, nil, "listener for metrics and health", func(s *Settings) *string { return &s.MetricsAddress }),
 		text("peer_address", typeAddress, nil, "UDP listener for other entry daemons", func(s *Settings) *string { return &s.PeerAddress }),
+		text("peer_advertise_address", typeAdvertise, "", "address under which other entry daemons reach this one; empty: that of the peer listener", func(s *Settings) *string { return &s.PeerAdvertiseAddress }),
 		text("platform_address", typeURL, nil, "platform's key-value service and VM list", func(s *Settings) *string { return &s.PlatformAddress }),
 		list("contact_peers", typeAddresses, []any{}, 0, 64, "peers for the first contact; later ones come from the member list", func(s *Settings) *[]string { return &s.ContactPeers }),
 		text("certificate_file", typeFile, nil, "certificate of this entry daemon, PEM", func(s *Settings) *string { return &s.CertificateFile }),
@@ -198,6 +200,8 @@
 		return namePattern.MatchString(v)
 	case typeAddress, typeAddresses:
 		return isAddress(v)
+	case typeAdvertise:
+		return v == "" || isAddress(v)
 	case typeURL:
 		u, err := url.Parse(v)
 		return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && u.User == nil && u.RawQuery == "" && u.Fragment == ""
@@ -228,6 +232,8 @@
 		return `a string of 1 to 63 of a-z, 0-9, "-" and "_" that starts with a letter or digit`
 	case typeAddress:
 		return `an IP address with port such as "10.0.0.1:8080"`
+	case typeAdvertise:
+		return `an IP address with port such as "10.0.0.1:8080", or ""`
 	case typeURL:
 		return `a URL such as "http://10.0.0.1:7000"`
 	case typeAddresses:
