Never take an answer whose stream ends early as whole

Cause: the caller's side copied an answer until an error that wraps io.EOF. The reader of a peer's answer joins io.EOF with ErrTruncated when the stream ends in good order but without the end frame, so such an answer went to the caller as whole. Found by the new test of truncated answers through a forwarder: case "end missing" got a whole answer with outcome done.

Change: only io.EOF itself ends an answer. pkg/runner reads its trailers after io.EOF and is not affected.

Conclusion: the case "end missing" fails without the change and passes with it.

--- /dev/null
+++ b/internal/coordinator/forward_test.go
@@ -0,0 +1,245 @@
+package coordinator
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/comfreyford/comfreyford/internal/dispatcher"
+	"github.com/comfreyford/comfreyford/internal/messenger"
+	"github.com/comfreyford/comfreyford/internal/server"
+)
+
+func credentials(t *testing.T, authority *messenger.Authority, name string) *tls.Config {
+	t.Helper()
+	dir := t.TempDir()
+	files := messenger.Files{
+		Certificate: filepath.Join(dir, "certificate.pem"),
+		Key:         filepath.Join(dir, "key.pem"),
+		CAs:         []string{filepath.Join(dir, "ca.pem")},
+	}
+	if err := authority.WriteCertificate(files.CAs[0]); err != nil {
+		t.Fatal(err)
+	}
+	if err := authority.Issue(name, files.Certificate, files.Key, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := messenger.LoadTLS(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// newPair returns the peers of a forwarder that knows one owner, and the messenger of
+// the owner, which answers forwarded requests with serve.
+func newPair(t *testing.T, serve messenger.Handler) (*peers, *messenger.Messenger) {
+	t.Helper()
+	authority, err := messenger.NewAuthority("test", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	open := func(name string, handlers map[messenger.Kind]messenger.Handler) *messenger.Messenger {
+		m, err := messenger.New(messenger.Config{
+			Listen:   "127.0.0.1:0",
+			TLS:      credentials(t, authority, name),
+			Logger:   hclog.NewNullLogger(),
+			Handlers: handlers,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan error, 1)
+		go func() { done <- m.Serve(context.Background()) }()
+		t.Cleanup(func() {
+			_ = m.Close()
+			<-done
+		})
+		return m
+	}
+	owner := open("owner", map[messenger.Kind]messenger.Handler{kindForward: serve})
+	p := newPeers(hclog.NewNullLogger())
+	p.messenger = open("forwarder", nil)
+	p.observe(report{
+		Entry:       "owner",
+		Incarnation: 1,
+		Address:     owner.Addr(),
+	}, time.Now())
+	return p, owner
+}
+
+func request(body string) dispatcher.Request {
+	return dispatcher.Request{
+		Queue:    "orders",
+		Method:   http.MethodPost,
+		Deadline: time.Now().Add(10 * time.Second),
+		Body:     strings.NewReader(body),
+	}
+}
+
+// broken reads its content and then fails, as the answer of a target that is lost.
+type broken struct {
+	io.Reader
+}
+
+func (b broken) Read(buf []byte) (int, error) {
+	n, err := b.Reader.Read(buf)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// forwarding is a dispatcher that forwards every request to the owner.
+type forwarding struct {
+	peers *peers
+}
+
+func (f forwarding) Submit(ctx context.Context, r dispatcher.Request) dispatcher.Result {
+	return f.peers.Forward(ctx, "owner", r)
+}
+
+func (f forwarding) Job(ctx context.Context, r dispatcher.JobRequest) dispatcher.Result {
+	return f.peers.ForwardJob(ctx, "owner", r)
+}
+
+// Guards against a truncated answer that a caller behind a forwarder takes as whole.
+func TestTruncatedAnswerThroughForwarderAbortsTheConnection(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		body  io.Reader // nil: the stream ends in good order without a body and its end
+		whole bool
+	}{
+		{name: "whole", body: strings.NewReader(strings.Repeat("x", 100_000)), whole: true},
+		{name: "end missing"},
+		{name: "cut at the start", body: broken{strings.NewReader("")}},
+		{name: "cut in the middle", body: broken{strings.NewReader(strings.Repeat("x", 100_000))}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, _ := newPair(t, func(_ context.Context, _ string, s *messenger.Stream) error {
+				if _, err := io.Copy(io.Discard, s.Body()); err != nil {
+					return err
+				}
+				if c.body == nil {
+					return s.Answer(forwardAnswer{
+						Outcome: dispatcher.OutcomeDone,
+						Status:  http.StatusOK,
+						Body:    true,
+					})
+				}
+				return answerForward(s, dispatcher.Result{
+					Outcome: dispatcher.OutcomeDone,
+					Status:  http.StatusOK,
+					Body:    io.NopCloser(c.body),
+				})
+			})
+			front := httptest.NewServer(server.NewCaller(server.CallerConfig{
+				Dispatcher:      forwarding{peers: p},
+				Authenticate:    func(string) (server.Credential, dispatcher.Reason) { return server.Credential{}, "" },
+				MaxRequestBytes: 1 << 20,
+				Logger:          hclog.NewNullLogger(),
+			}))
+			defer front.Close()
+			resp, err := http.Post(front.URL+"/v1/queues/orders/work", "text/plain", strings.NewReader("body"))
+			outcome := ""
+			if err == nil {
+				outcome = resp.Header.Get(server.HeaderOutcome)
+				_, err = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+			// A reset may overtake the head of the answer; then the outcome is unknown.
+			whole := err == nil && outcome == string(dispatcher.OutcomeDone)
+			if whole != c.whole {
+				t.Errorf("outcome %q, error %v; want a whole answer: %t", outcome, err, c.whole)
+			}
+		})
+	}
+}
+
+// Guards against "not run" for a request that was delivered and whose answer is lost.
+func TestLostAnswerOfPeerIsUnknown(t *testing.T) {
+	delivered := make(chan struct{}, 1)
+	p, _ := newPair(t, func(_ context.Context, _ string, s *messenger.Stream) error {
+		if _, err := io.Copy(io.Discard, s.Body()); err != nil {
+			return err
+		}
+		delivered <- struct{}{}
+		return errors.New("lost")
+	})
+	result := p.Forward(context.Background(), "owner", request("body"))
+	<-delivered
+	if result.Outcome != dispatcher.OutcomeUnknown || result.Reason != dispatcher.ReasonPeerLost {
+		t.Errorf("got %s, %s; want an unknown outcome", result.Outcome, result.Reason)
+	}
+}
+
+// Guards against an unknown outcome for a request that no peer can have received.
+func TestUnreachablePeerIsNotRun(t *testing.T) {
+	p, owner := newPair(t, nil)
+	if err := owner.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"owner", "nobody"} {
+		result := p.Forward(context.Background(), name, request("body"))
+		if result.Outcome != dispatcher.OutcomeNotRun || result.Reason != dispatcher.ReasonPeerUnreachable {
+			t.Errorf("%s: got %s, %s; want not run", name, result.Outcome, result.Reason)
+		}
+	}
+}
+
+// Guards against answers that are matched by order of arrival: later requests are
+// answered first.
+func TestAnswersOfPeersReachTheirOwnRequests(t *testing.T) {
+	const requests = 32
+	var mu sync.Mutex
+	var waiting []chan struct{}
+	p, _ := newPair(t, func(_ context.Context, _ string, s *messenger.Stream) error {
+		body, err := io.ReadAll(s.Body())
+		if err != nil {
+			return err
+		}
+		turn := make(chan struct{})
+		mu.Lock()
+		waiting = append(waiting, turn)
+		if len(waiting) == requests {
+			for i := range waiting {
+				close(waiting[requests-1-i])
+			}
+		}
+		mu.Unlock()
+		<-turn
+		return answerForward(s, dispatcher.Result{
+			Outcome: dispatcher.OutcomeDone,
+			Status:  http.StatusOK,
+			Body:    io.NopCloser(bytes.NewReader(body)),
+		})
+	})
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Go(func() {
+			want := fmt.Sprintf("request %d", i)
+			result := p.Forward(context.Background(), "owner", request(want))
+			if result.Body == nil {
+				t.Errorf("%s: %s, %s", want, result.Outcome, result.Detail)
+				return
+			}
+			defer func() { _ = result.Body.Close() }()
+			if got, err := io.ReadAll(result.Body); err != nil || string(got) != want {
+				t.Errorf("got %q, %v; want %q", got, err, want)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -172,7 +172,8 @@
 				return err
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		// A wrapped io.EOF is the end of a stream in the middle of an answer.
+		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
