--- /dev/null
+++ b/internal/verifier/entry_test.go
@@ -0,0 +1,176 @@
+package verifier
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/comfreyford/comfreyford/internal/dispatcher"
+	"github.com/comfreyford/comfreyford/internal/generator"
+)
+
+// Guards against lost, repeated and mixed-up work when an entry daemon dies under
+// load and comes back with the same name.
+func TestKilledEntryDaemonLosesAndRepeatsNothing(t *testing.T) {
+	f := newFixture(t)
+	l := f.load(f.Streams(), 900, 5*time.Millisecond, 50*time.Millisecond)
+	l.reach(200)
+	f.Entries[0].Kill()
+	l.reach(400)
+	if err := f.StartEntry(f.Entries[0]); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitServing(0)
+	l.check()
+}
+
+// killAllUnderLoad kills all entry daemons under load, starts them again and waits for
+// the end of the load.
+func killAllUnderLoad(t *testing.T) (f *fixture, l *load, restarted time.Time) {
+	t.Helper()
+	f = newFixture(t)
+	l = f.load(f.Streams(), 400, 5*time.Millisecond, 50*time.Millisecond)
+	l.reach(200)
+	for _, e := range f.Entries {
+		e.Kill()
+	}
+	for _, e := range f.Entries {
+		if err := f.StartEntry(e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range f.Entries {
+		f.awaitServing(i)
+	}
+	restarted = time.Now()
+	// The former incarnations held the allowances.
+	for i := range f.Entries {
+		f.await("keyed work at "+f.Entries[i].Name, time.Until(restarted.Add(reclaimFast+patience)), func() error {
+			if a := f.send(f.call(i, "orders", http.MethodPost, f.Keys["orders"])); !a.done() {
+				return a
+			}
+			return nil
+		})
+	}
+	<-l.done
+	t.Log(l.g.Counts())
+	return f, l, restarted
+}
+
+// Guards against requests that run twice, are falsely refused or get a wrong answer
+// when no entry daemon survives, and against limits that the next incarnations exceed.
+func TestAllEntryDaemonsKilledAtOnce(t *testing.T) {
+	f, l, _ := killAllUnderLoad(t)
+	runs := map[string]int{}
+	for _, run := range f.runs() {
+		if run.Segment == 0 {
+			runs[run.Identity]++
+		}
+	}
+	for _, e := range l.g.Ended() {
+		switch n := runs[e.Identity]; {
+		case n > 1 && e.Stream.Method == http.MethodPost:
+			t.Errorf("%s ran %d times", e.Identity, n)
+		case n > 0 && e.Outcome == generator.OutcomeNotRun:
+			t.Errorf("%s was refused as not run and ran", e.Identity)
+		case e.Outcome == generator.OutcomeWrong:
+			t.Errorf("%s: wrong answer: %s", e.Identity, e.Detail)
+		}
+	}
+	for team, limit := range f.Limits() {
+		if n := peak(f.runs(), team, time.Time{}); n > limit {
+			t.Errorf("team %s had %d slots running, limit %d", team, n, limit)
+		}
+	}
+}
+
+// Guards against accepted jobs that never end when no entry daemon survives.
+func TestAcceptedJobsEndAfterAllEntryDaemonsWereKilled(t *testing.T) {
+	f, l, restarted := killAllUnderLoad(t)
+	// A job that its caller saw unfinished after 15 s may end within the recovery time.
+	for _, e := range l.g.Ended() {
+		if e.Outcome == generator.OutcomeLost {
+			f.await("end of job "+e.Identity, time.Until(restarted.Add(recoveryTimeout+patience)), func() error {
+				return f.jobDone(e)
+			})
+		}
+	}
+}
+
+// jobDone asks for the state of an accepted job.
+func (f *fixture) jobDone(e generator.Ended) error {
+	req, err := http.NewRequestWithContext(f.ctx, http.MethodGet, "http://"+f.Entries[1].Callers+"/v1/jobs/"+e.Identity+"/result", nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Comfreyford-Key", e.Stream.Key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if outcome := resp.Header.Get("Comfreyford-Outcome"); outcome != string(dispatcher.OutcomeDone) || resp.StatusCode != http.StatusOK {
+		content, err := io.ReadAll(resp.Body)
+		return fmt.Errorf("%s, %s: %s, %w", resp.Status, outcome, content, err)
+	}
+	return nil
+}
+
+// Guards against a request that a graceful stop interrupts or refuses falsely.
+func TestGracefulStopInterruptsNoRequest(t *testing.T) {
+	f := newFixture(t)
+	const entry = 0
+	s := f.stream(16, func(caller, _ int) call {
+		c := f.call(entry, "quotes", http.MethodGet, "")
+		if caller%2 == 0 {
+			c = f.call(entry, "orders", http.MethodPost, f.Keys["orders"])
+		}
+		c.duration = 700 * time.Millisecond
+		return c
+	})
+	others := f.load(f.Streams(), 300, 5*time.Millisecond, 50*time.Millisecond)
+	f.await("long requests run", patience, func() error {
+		n := 0
+		for _, run := range f.runs() {
+			if run.EndNS == 0 {
+				n++
+			}
+		}
+		if n < 8 {
+			return fmt.Errorf("%d run", n)
+		}
+		return nil
+	})
+	ctx, cancel := context.WithTimeout(f.ctx, patience)
+	defer cancel()
+	if err := f.Entries[entry].Stop(ctx); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	answers := s.stop()
+	done := 0
+	for _, a := range answers {
+		switch {
+		case a.done():
+			done++
+		case a.outcome == dispatcher.OutcomeNotRun:
+		case a.err != nil && refusedConnection(a.err):
+		default:
+			t.Errorf("interrupted: %v", a)
+		}
+	}
+	if done == 0 {
+		t.Error("no request was answered")
+	}
+	f.checkAnswers(answers)
+	others.check()
+}
+
+// refusedConnection tells that the request never reached the entry daemon.
+func refusedConnection(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/internal/verifier/worker_test.go
@@ -0,0 +1,160 @@
+package verifier
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/comfreyford/comfreyford/internal/demonstrator"
+	"github.com/comfreyford/comfreyford/internal/emulator"
+)
+
+func (f *fixture) admin(p *demonstrator.Process, method, path string, body any) {
+	f.t.Helper()
+	if err := f.Admin(f.ctx, p, method, path, body, nil); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// victim returns a worker of the pool shop.
+func (f *fixture) victim() *demonstrator.WorkerProcess {
+	for _, w := range f.Workers {
+		if w.Pool == "shop" {
+			return w
+		}
+	}
+	f.t.Fatal("no worker in pool shop")
+	return nil
+}
+
+// runsOf returns the runs of one worker.
+func (f *fixture) runsOf(w *demonstrator.WorkerProcess) []emulator.Run {
+	f.t.Helper()
+	var runs emulator.Runs
+	if err := f.Admin(f.ctx, w.Process, http.MethodGet, "/v1/runs", nil, &runs); err != nil {
+		f.t.Fatal(err)
+	}
+	return runs.Runs
+}
+
+// Guards against new work on a target that is leaving while the platform's list does
+// not say so yet, and against the end of work that it already runs.
+func TestDrainingWorkerGetsNoNewWorkAlthoughTheListLags(t *testing.T) {
+	f := newFixture(t)
+	f.admin(f.Platform, http.MethodPut, "/admin/faults", emulator.PlatformFaults{ListLagMS: time.Hour.Milliseconds()})
+	w := f.victim()
+	s := f.stream(12, func(caller, n int) call {
+		c := f.call((caller+n)%len(f.Entries), "stock", http.MethodGet, f.Keys["orders"])
+		if caller%3 == 0 {
+			c.queue, c.method, c.duration = "orders", http.MethodPost, 2*time.Second
+		}
+		return c
+	})
+	f.await("worker has long work", patience, func() error {
+		for _, run := range f.runsOf(w) {
+			if run.EndNS == 0 {
+				return nil
+			}
+		}
+		return errors.New("no run in progress")
+	})
+	f.admin(w.Process, http.MethodPost, "/admin/drain", nil)
+	left := time.Now().Add(leavingBound)
+	time.Sleep(time.Until(left.Add(leavingBound)))
+	answers := s.stop()
+	for _, run := range f.runsOf(w) {
+		if run.StartNS > left.UnixNano() {
+			t.Errorf("run %s started %s after the worker began to leave", run.Identity, time.Duration(run.StartNS-left.Add(-leavingBound).UnixNano()))
+		}
+		if run.EndNS == 0 || run.State != "done" {
+			t.Errorf("run %s of the leaving worker was not finished: %s", run.Identity, run.State)
+		}
+	}
+	for _, a := range answers {
+		if !a.done() {
+			t.Errorf("not answered: %v", a)
+		}
+	}
+	f.checkAnswers(answers)
+}
+
+// Guards against a worker that fails everything and keeps its share of the work.
+func TestWorkerThatFailsEverythingIsEjected(t *testing.T) {
+	f := newFixture(t)
+	w := f.victim()
+	f.admin(w.Process, http.MethodPut, "/admin/faults", emulator.WorkerFaults{FailAll: true})
+	s := f.stream(16, func(caller, n int) call {
+		return f.call((caller+n)%len(f.Entries), "stock", http.MethodGet, f.Keys["orders"])
+	})
+	shop := 0
+	for _, other := range f.Workers {
+		if other.Pool == "shop" {
+			shop++
+		}
+	}
+	f.await("the other workers ran enough", patience, func() error {
+		if n := len(f.runs()); n < 600 {
+			return fmt.Errorf("%d runs", n)
+		}
+		return nil
+	})
+	answers := s.stop()
+	if n, all := len(f.runsOf(w)), len(f.runs()); n*2*shop > all {
+		t.Errorf("failing worker ran %d of %d, want less than half of an equal share among %d", n, all, shop)
+	}
+	failed := 0
+	for _, a := range answers {
+		if !a.done() {
+			t.Errorf("not answered: %v", a)
+		}
+		if a.status == http.StatusInternalServerError {
+			failed++
+		}
+	}
+	if n := len(f.runsOf(w)); failed > n {
+		t.Errorf("%d callers received a failure, but the failing worker ran only %d", failed, n)
+	}
+	f.checkAnswers(answers)
+}
+
+// Guards against a truncated answer that a caller takes as whole, and against a
+// non-idempotent request that runs again because its answer was lost.
+func TestTruncatedAnswersReachNoCaller(t *testing.T) {
+	f := newFixture(t)
+	f.admin(f.victim().Process, http.MethodPut, "/admin/faults", emulator.WorkerFaults{Truncate: true})
+	s := f.load(f.Streams(), 500, time.Millisecond, 20*time.Millisecond).check()
+	if len(f.runsOf(f.victim())) == 0 {
+		t.Error("the truncating worker ran nothing")
+	}
+	t.Log(s)
+}
+
+// Guards against requests that wait for a silent connection, and against a
+// non-idempotent one that runs again because its connection is silent.
+func TestSilentConnectionsLoseAndRepeatNothing(t *testing.T) {
+	f := newFixture(t)
+	w := f.victim()
+	l := f.load(f.Streams(), 800, 5*time.Millisecond, 50*time.Millisecond)
+	for _, n := range []int64{100, 300, 500} {
+		l.reach(n)
+		f.admin(w.Process, http.MethodPost, "/admin/silence", nil)
+	}
+	if s := l.check(); s.OutcomeUnknown > 0 {
+		t.Errorf("%d outcomes unknown, although new connections of the worker work", s.OutcomeUnknown)
+	}
+}
+
+// Guards against lost and repeated work while all connections of a worker, new ones
+// included, are silent.
+func TestMuteWorkerLosesAndRepeatsNothing(t *testing.T) {
+	f := newFixture(t)
+	w := f.victim()
+	l := f.load(f.Streams(), 500, 5*time.Millisecond, 50*time.Millisecond)
+	l.reach(100)
+	f.admin(w.Process, http.MethodPost, "/admin/silence?mute=true", nil)
+	l.reach(400)
+	f.admin(w.Process, http.MethodPost, "/admin/unmute", nil)
+	l.check()
+}
