--- a/internal/demonstrator/demo.go
+++ b/internal/demonstrator/demo.go
@@ -38,7 +38,7 @@
 	}
 	summary, err := in.demo(ctx, options)
 	if err != nil {
-		in.killAll()
+		in.Kill()
 		return summary, err
 	}
 	in.progress("stopping")
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -41,13 +41,14 @@
 	Region           string
 	AvailabilityZone string
 
-	CallerAddress   string
-	OperatorAddress string
-	MetricsAddress  string
-	Profiling       bool
-	PeerAddress     string
-	PlatformAddress string
-	ContactPeers    []string
+	CallerAddress        string
+	OperatorAddress      string
+	MetricsAddress       string
+	Profiling            bool
+	PeerAddress          string
+	PeerAdvertiseAddress string // empty: the address of the peer listener
+	PlatformAddress      string
+	ContactPeers         []string
 
 	CertificateFile   string
 	PrivateKeyFile    string
