--- a/pkg/journaler/harness_test.go
+++ b/pkg/journaler/harness_test.go
@@ -139,6 +139,12 @@
 	return !o.noRight
 }
 
+func (o *owner) setRight(right bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.noRight = !right
+}
+
 // acquire waits for allowance.
 func (o *owner) acquire(ctx context.Context) (func(ended bool), error) {
 	for !o.take() {
--- a/pkg/journaler/limits_test.go
+++ b/pkg/journaler/limits_test.go
@@ -157,7 +157,7 @@
 		{
 			name: "not adopted without the right",
 			change: func(w *world, _ uuid.UUID) {
-				w.owners[1].noRight = true
+				w.owners[1].setRight(false)
 				w.members("b")
 			},
 			state: StateUnknown,
@@ -165,7 +165,7 @@
 		},
 		{
 			name:   "right ran out",
-			change: func(w *world, _ uuid.UUID) { w.owners[0].noRight = true },
+			change: func(w *world, _ uuid.UUID) { w.owners[0].setRight(false) },
 			state:  StateUnknown,
 			ended:  map[string][]bool{"a": {true}},
 		},
@@ -198,6 +198,7 @@
 				time.Sleep(time.Second)
 				tt.change(w, ids[0])
 				time.Sleep(time.Minute)
+				synctest.Wait()
 				r := stored(t, w.store, ids[0])[ids[0]]
 				if r.State != tt.state || w.worker.runs[ids[0].String()] != 1 {
 					t.Errorf("%s after %d runs, want %s", r.State, w.worker.runs[ids[0].String()], tt.state)
@@ -392,11 +393,13 @@
 			w.submit(o, id, request(1))
 		}
 		time.Sleep(o.j.cfg.PlaceDelay + 100*time.Millisecond) // a stop waits for 2 s
+		w.worker.mu.Lock()
 		for _, id := range ids {
 			if runs := w.worker.runs[id.String()]; runs != 1 {
 				t.Errorf("%s ran %d times", id, runs)
 			}
 		}
+		w.worker.mu.Unlock()
 		if silent.calls.Load() != jobs {
 			t.Errorf("%d stops, want %d", silent.calls.Load(), jobs)
 		}
