--- a/pkg/journaler/journal_test.go
+++ b/pkg/journaler/journal_test.go
@@ -332,7 +332,7 @@
 		{
 			name: "no target",
 			change: func(w *world, r *Request) {
-				w.worker.away = true
+				w.worker.setAway(true)
 				r.DeadlineMS = time.Now().Add(20 * time.Second).UnixMilli()
 			},
 			want: VerdictDeadlineExceeded,
@@ -341,7 +341,7 @@
 			// The sessions that are opened before the store is back lapse without a start.
 			name: "store down for longer than a session lives",
 			change: func(w *world, _ *Request) {
-				w.worker.away = true
+				w.worker.setAway(true)
 				time.AfterFunc(500*time.Millisecond, func() {
 					w.owners[0].toggle()
 					w.worker.setAway(false)
--- a/pkg/journaler/limits_test.go
+++ b/pkg/journaler/limits_test.go
@@ -42,7 +42,9 @@
 			t.Errorf("other request: %v", err)
 		}
 		time.Sleep(10 * time.Second)
+		w.worker.mu.Lock()
 		w.worker.large = MaxBlobBytes
+		w.worker.mu.Unlock()
 		_ = send(2, 1)
 		r, _ := j.Wait(ctx, ids[2], "team")
 		if _, err := j.Data(ctx, r); r.Verdict != VerdictResultTooLarge || !errors.Is(err, ErrNotKept) {
@@ -85,10 +87,10 @@
 			time.Sleep(time.Second)
 			w.owners[0].set(true)
 			time.Sleep(4 * time.Second)
-			w.worker.away = true
+			w.worker.setAway(true)
 			w.owners[1].j.SetMembers(t.Context(), []string{"b"})
 			time.Sleep(away)
-			w.worker.away = false
+			w.worker.setAway(false)
 			w.settle(t, ids)
 			if got := stored(t, w.store, ids[0])[ids[0]].State; got != want {
 				t.Errorf("away for %s: %s, want %s", away, got, want)
