--- a/pkg/journaler/limits_test.go
+++ b/pkg/journaler/limits_test.go
@@ -42,7 +42,9 @@
 			t.Errorf("other request: %v", err)
 		}
 		time.Sleep(10 * time.Second)
+		w.worker.mu.Lock()
 		w.worker.large = MaxBlobBytes
+		w.worker.mu.Unlock()
 		_ = send(2, 1)
 		r, _ := j.Wait(ctx, ids[2], "team")
 		if _, err := j.Data(ctx, r); r.Verdict != VerdictResultTooLarge || !errors.Is(err, ErrNotKept) {
@@ -85,10 +87,10 @@
 			time.Sleep(time.Second)
 			w.owners[0].set(true)
 			time.Sleep(4 * time.Second)
-			w.worker.away = true
+			w.worker.setAway(true)
 			w.owners[1].j.SetMembers(t.Context(), []string{"b"})
 			time.Sleep(away)
-			w.worker.away = false
+			w.worker.setAway(false)
 			w.settle(t, ids)
 			if got := stored(t, w.store, ids[0])[ids[0]].State; got != want {
 				t.Errorf("away for %s: %s, want %s", away, got, want)
@@ -157,7 +159,7 @@
 		{
 			name: "not adopted without the right",
 			change: func(w *world, _ uuid.UUID) {
-				w.owners[1].noRight = true
+				w.owners[1].setRight(false)
 				w.members("b")
 			},
 			state: StateUnknown,
@@ -165,7 +167,7 @@
 		},
 		{
 			name:   "right ran out",
-			change: func(w *world, _ uuid.UUID) { w.owners[0].noRight = true },
+			change: func(w *world, _ uuid.UUID) { w.owners[0].setRight(false) },
 			state:  StateUnknown,
 			ended:  map[string][]bool{"a": {true}},
 		},
@@ -198,6 +200,7 @@
 				time.Sleep(time.Second)
 				tt.change(w, ids[0])
 				time.Sleep(time.Minute)
+				synctest.Wait()
 				r := stored(t, w.store, ids[0])[ids[0]]
 				if r.State != tt.state || w.worker.runs[ids[0].String()] != 1 {
 					t.Errorf("%s after %d runs, want %s", r.State, w.worker.runs[ids[0].String()], tt.state)
@@ -420,11 +423,13 @@
 			w.submit(o, id, request(1))
 		}
 		time.Sleep(o.j.cfg.PlaceDelay + 100*time.Millisecond) // a stop waits for 2 s
+		w.worker.mu.Lock()
 		for _, id := range ids {
 			if runs := w.worker.runs[id.String()]; runs != 1 {
 				t.Errorf("%s ran %d times", id, runs)
 			}
 		}
+		w.worker.mu.Unlock()
 		if silent.calls.Load() != jobs {
 			t.Errorf("%d stops, want %d", silent.calls.Load(), jobs)
 		}
