runner: forget sessions that nothing uses

Cause: Keeper removed a session only when it was lost. A journaled attempt has a session of its own, so each non-idempotent request left an entry, a channel and a reference to its target behind for the life of the daemon. Replaced VMs did the same.

Change: at most once a TTL, join drops the sessions without use that it would replace anyway.

Ruled out: dropping a session at its last release. An online request that follows would have to open another one.

A session in use stays.

The leak test of the dispatcher did not show it, because online requests share one session for each target.

--- a/pkg/runner/keeper.go
+++ b/pkg/runner/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -39,6 +40,7 @@
 
 	mu       sync.Mutex
 	sessions map[string]*kept
+	forgot   time.Time // when forget last looked for sessions without use
 	closed   bool
 	tasks    sync.WaitGroup
 	ctx      context.Context // ends at Close
@@ -148,6 +150,7 @@
 		s.uses++
 		return s, false, nil
 	}
+	k.forget(time.Now())
 	s = &kept{
 		id:     k.cfg.NewID(),
 		target: target,
@@ -159,6 +162,16 @@
 	return s, true, nil
 }
 
+// forget drops the sessions that nothing uses and that join would replace, at most
+// once a TTL, because it visits all sessions.
+func (k *Keeper) forget(now time.Time) {
+	if now.Sub(k.forgot) < k.cfg.TTL {
+		return
+	}
+	k.forgot = now
+	maps.DeleteFunc(k.sessions, func(_ string, s *kept) bool { return s.uses == 0 && k.expiring(s) })
+}
+
 // expiring reports whether the session has ended or is not renewed in time for a
 // task to start under it. The worker's clock starts later than s.start.
 func (k *Keeper) expiring(s *kept) bool {
