docs: name the latency command

Cause: the table of processes and the rule on started processes did not name the command, which starts an installation as the demo does.

Ruled out: nothing.

--- a/internal/commander/demo.go
+++ b/internal/commander/demo.go
@@ -13,7 +13,7 @@
 	"github.com/comfreyford/comfreyford/internal/demonstrator"
 )
 
-// This file runs the demo. It and the tests are the only parts that start
+// This file runs the demo. It, the latency command and the tests are the only parts that start
 // processes; the entry daemon itself starts none.
 
 const demoUsage = "run a whole installation on loopback under load and check what it promises"
