--- a/pkg/runner/keeper_memory_test.go
+++ b/pkg/runner/keeper_memory_test.go
@@ -15,6 +15,8 @@
 	return "boot", nil
 }
 
+func (opener) RenewSession(context.Context, string, string, time.Duration) error { return nil }
+
 // Guards against sessions that are remembered for ever: a non-idempotent request has
 // a session of its own, and replaced VMs have new names.
 func TestUnusedSessionsAreForgotten(t *testing.T) {
