dispatcher: checkpoint the deferrable tasks on a held target

Cause: a task was checkpointed only if the waiting request fitted in its place alone. A request for most of a target waited for every task there to end.

Ruled out: several checkpoints at once on targets that are not held; other requests would take the freed slots one by one.

Change: for the request with the held target, each deferrable task there is checkpointed, one after the other.

--- a/internal/dispatcher/checkpoint.go
+++ b/internal/dispatcher/checkpoint.go
@@ -117,14 +117,15 @@
 }
 
 // victim returns the task that was started or resumed last among those whose place
-// would do. A task that must soon start again to meet its deadline is left alone.
+// would do. Each task on the target that is held for the request would: the next ticks
+// take the others there until the request fits. A task that must soon start again to meet its deadline is left alone.
 func (p *pool) victim(now time.Time, w *waiter) *grant {
 	var best *grant
 	for g := range p.tasks {
 		switch {
 		case g.phase != phaseRunning || !g.deadline.After(now.Add(checkpointReserve)):
 		case !g.retryAt.IsZero() && now.Sub(g.since) < minRun:
-		case !p.placer.FitsWithout(&w.need, g.placement):
+		case !p.placer.FitsWithout(&w.need, g.placement) && (w != p.held || g.placement.Target != p.target):
 		case best == nil || g.since.After(best.since):
 			best = g
 		}
--- a/internal/dispatcher/pool_test.go
+++ b/internal/dispatcher/pool_test.go
@@ -340,3 +340,28 @@
 		})
 	}
 }
+
+// Guards against a large urgent request whose held target becomes free only when its
+// deferrable tasks end, and against tasks there that don't go on afterwards.
+func TestDeferrableTasksLeaveAHeldTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(t, map[string]int{"w": 4})
+		defer x.close()
+		var ends []<-chan error
+		for _, id := range []string{"a", "b", "c", "d"} {
+			ends = append(ends, x.job(id, "20000", 5*time.Minute))
+		}
+		time.Sleep(time.Second)
+		g, waited := x.wait(configurer.ClassUrgent, 4, 10*time.Second)
+		if g == nil || waited > 700*time.Millisecond {
+			t.Fatalf("the request started: %v, after %v, want within 700 ms", g != nil, waited)
+		}
+		time.Sleep(time.Second)
+		g.release(true)
+		for _, end := range ends {
+			if err := <-end; err != nil {
+				t.Errorf("a job did not end with an answer: %v", err)
+			}
+		}
+	})
+}
