Reboot a drained VM as soon as its worker reports no work

Cause: maintenance did not know whether a VM was idle, so every VM drained for the full 2 minutes; the dispatcher's own Idle only knew the tasks of one entry daemon. Change: a VM is idle when its worker reports no task, in a report of at most 2 s of age, which is later than the time at which all entry daemons had stopped sending work; the maintenance driver uses it. Ruled out: asking the peers; a daemon that is cut off would not be counted.

--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -235,6 +235,7 @@
 				Waves: tree.Waves,
 			}
 		},
+		Idle:  e.dispatcher.Idle,
 		NewID: uuid.NewString,
 	})
 	e.mover = planner.NewMover(planner.MoverConfig{
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyford/comfreyford/pkg/journaler"
 	"github.com/comfreyford/comfreyford/pkg/limiter"
 	"github.com/comfreyford/comfreyford/pkg/placer"
+	"github.com/comfreyford/comfreyford/pkg/planner"
 	"github.com/comfreyford/comfreyford/pkg/retrier"
 	"github.com/comfreyford/comfreyford/pkg/runner"
 )
@@ -269,16 +270,22 @@
 	return running
 }
 
-// Idle tells whether this entry daemon runs nothing on a VM.
+// idleReportAge is the greatest age of a report that shows a VM as idle. It is half of
+// planner.DefaultMinDrain, so that the report is from after the time at which every
+// entry daemon had stopped sending work.
+const idleReportAge = planner.DefaultMinDrain / 2
+
+// Idle tells whether a VM runs no work of any entry daemon, by the report of its worker.
+// A VM whose worker has not reported lately is not known to be idle.
 func (d *Dispatcher) Idle(vm string) bool {
 	t, err := d.registry.find(vm)
 	if err != nil {
-		return true
+		return false
 	}
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	m := t.pool.members[vm]
-	return m == nil || m.grants == 0
+	return m != nil && m.grants == 0 && m.tasks == 0 && time.Since(m.asOf) <= idleReportAge
 }
 
 // PoolState describes a pool for status pages and metrics.
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -41,6 +41,7 @@
 	target *target
 	total  runner.Resources // zero until the worker reported
 	tasks  int              // that the worker reported as running, of all entry daemons
+	asOf   time.Time        // of that report; its figures lag
 	grants int
 	idle   chan struct{} // closed when the last grant ends after removal; nil before
 }
@@ -307,6 +308,7 @@
 		return
 	}
 	m.tasks = usage.Running
+	m.asOf = time.Now().Add(-time.Duration(usage.AgeMS) * time.Millisecond)
 	if m.total != usage.Total {
 		m.total = usage.Total
 		p.put(m, time.Now())
--- a/internal/dispatcher/pool_test.go
+++ b/internal/dispatcher/pool_test.go
@@ -349,7 +349,7 @@
 // deferrable tasks end, and against tasks there that don't go on afterwards.
 func TestDeferrableTasksLeaveAHeldTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		x := newFixture(t, map[string]int{"w": 4})
+		x := newPoolFixture(t, map[string]int{"w": 4})
 		defer x.close()
 		var ends []<-chan error
 		for _, id := range []string{"a", "b", "c", "d"} {
@@ -369,3 +369,51 @@
 		}
 	})
 }
+
+// Guards against the reboot of a VM on which another entry daemon still runs work, and
+// against VMs that count as idle although their worker is silent.
+func TestVMIsIdleOnlyByItsWorkersReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newPoolFixture(t, map[string]int{"w": 1})
+		defer x.close()
+		if x.d.Idle("other") || !x.d.Idle("w") {
+			t.Fatalf("idle: unknown VM %v, want false; free worker %v, want true", x.d.Idle("other"), x.d.Idle("w"))
+		}
+		worker := x.workers["w"]
+		boot, err := worker.OpenSession(t.Context(), "s", time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan error, 1)
+		go func() {
+			_, err := worker.Start(t.Context(), runner.Task{
+				ID:        "of another entry daemon",
+				Session:   "s",
+				Boot:      boot,
+				Method:    "GET",
+				Path:      "/?duration_ms=10000",
+				Resources: runner.Resources{Slots: 1},
+				Timeout:   time.Minute,
+			}, strings.NewReader(""))
+			done <- err
+		}()
+		time.Sleep(5 * time.Second)
+		if x.d.Idle("w") {
+			t.Fatal("a VM that runs the task of another entry daemon counts as idle")
+		}
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if !x.d.Idle("w") {
+			t.Fatal("a VM whose task has ended does not count as idle")
+		}
+		if err := x.servers[0].Close(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		if x.d.Idle("w") {
+			t.Fatal("a VM whose worker is silent counts as idle")
+		}
+	})
+}
