Move the arithmetic of resources to one place

Cause: scheduler, worker emulator, measurer and coordinator each had their own sum, difference and comparison of runner.Resources. Change: Resources.Plus, Minus and FitsIn; the comparison subtracts what is used from the total, so that a huge declared need can't wrap around. Conclusion: no behaviour changed.

--- a/internal/coordinator/peers.go
+++ b/internal/coordinator/peers.go
@@ -154,10 +154,7 @@
 		for key, used := range k.usage {
 			total := sum[key]
 			if live {
-				total.Slots += used.Slots
-				total.CPUMillis += used.CPUMillis
-				total.MemoryMB += used.MemoryMB
-				total.Accelerators += used.Accelerators
+				total = total.Plus(used)
 			}
 			sum[key] = total
 		}
--- a/internal/emulator/parsers_test.go
+++ b/internal/emulator/parsers_test.go
@@ -78,7 +78,7 @@
 func TestFitsDoesNotOverflow(t *testing.T) {
 	used := runner.Resources{Slots: 1, MemoryMB: 1}
 	need := runner.Resources{Slots: 1, MemoryMB: 1<<63 - 1}
-	if fits(used, need, DefaultResources()) {
+	if need.FitsIn(DefaultResources().Minus(used)) {
 		t.Fatal("the need was taken as fitting")
 	}
 }
--- a/internal/emulator/task.go
+++ b/internal/emulator/task.go
@@ -61,13 +61,13 @@
 }
 
 func (w *Worker) reserve(t *task) {
-	w.used = add(w.used, t.spec.Resources)
+	w.used = w.used.Plus(t.spec.Resources)
 	w.running++
 	w.recordUsage()
 }
 
 func (w *Worker) release(t *task) {
-	w.used = subtract(w.used, t.spec.Resources)
+	w.used = w.used.Minus(t.spec.Resources)
 	w.running--
 	w.recordUsage()
 }
@@ -291,7 +291,7 @@
 			return runner.ErrTaskEnded
 		case t.state == runner.StateRunning:
 			return nil
-		case !fits(w.used, t.spec.Resources, w.cfg.Total):
+		case !t.spec.Resources.FitsIn(w.cfg.Total.Minus(w.used)):
 			return runner.ErrBusy
 		}
 		t.state = runner.StateRunning
--- a/internal/emulator/usage.go
+++ b/internal/emulator/usage.go
@@ -55,29 +55,3 @@
 func valid(r runner.Resources) bool {
 	return r.Slots >= 1 && r.CPUMillis >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0
 }
-
-// fits reports whether need can be added to used within total.
-func fits(used, need, total runner.Resources) bool {
-	return need.Slots <= total.Slots-used.Slots &&
-		need.CPUMillis <= total.CPUMillis-used.CPUMillis &&
-		need.MemoryMB <= total.MemoryMB-used.MemoryMB &&
-		need.Accelerators <= total.Accelerators-used.Accelerators
-}
-
-func add(a, b runner.Resources) runner.Resources {
-	return runner.Resources{
-		Slots:        a.Slots + b.Slots,
-		CPUMillis:    a.CPUMillis + b.CPUMillis,
-		MemoryMB:     a.MemoryMB + b.MemoryMB,
-		Accelerators: a.Accelerators + b.Accelerators,
-	}
-}
-
-func subtract(a, b runner.Resources) runner.Resources {
-	return runner.Resources{
-		Slots:        a.Slots - b.Slots,
-		CPUMillis:    a.CPUMillis - b.CPUMillis,
-		MemoryMB:     a.MemoryMB - b.MemoryMB,
-		Accelerators: a.Accelerators - b.Accelerators,
-	}
-}
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -329,9 +329,9 @@
 		return refused(runner.ErrSessionEnded)
 	case w.draining:
 		return refused(runner.ErrDraining)
-	case !valid(spec.Resources) || !fits(runner.Resources{}, spec.Resources, w.cfg.Total):
+	case !valid(spec.Resources) || !spec.Resources.FitsIn(w.cfg.Total):
 		return refused(fmt.Errorf("%w: the task needs %+v, the worker has %+v", runner.ErrInvalid, spec.Resources, w.cfg.Total))
-	case !fits(w.used, spec.Resources, w.cfg.Total):
+	case !spec.Resources.FitsIn(w.cfg.Total.Minus(w.used)):
 		return refused(runner.ErrBusy)
 	}
 	t = newTask(spec, app, w.faults)
--- a/internal/measurer/control.go
+++ b/internal/measurer/control.go
@@ -45,7 +45,7 @@
 				var sum runner.Resources
 				for _, peer := range w.daemons {
 					if peer != d {
-						sum = plus(sum, peer.pools[i].reported[t.name])
+						sum = sum.Plus(peer.pools[i].reported[t.name])
 					}
 				}
 				d.pools[i].sched.SetPeerUsage(t.name, sum)
@@ -60,15 +60,6 @@
 	}
 }
 
-func plus(a, b runner.Resources) runner.Resources {
-	return runner.Resources{
-		Slots:        a.Slots + b.Slots,
-		CPUMillis:    a.CPUMillis + b.CPUMillis,
-		MemoryMB:     a.MemoryMB + b.MemoryMB,
-		Accelerators: a.Accelerators + b.Accelerators,
-	}
-}
-
 // reportUsage hands out what each worker measured one interval ago, as its reports lag.
 func (w *world) reportUsage() {
 	for _, name := range w.names {
--- a/pkg/scheduler/choose.go
+++ b/pkg/scheduler/choose.go
@@ -149,7 +149,7 @@
 }
 
 func (s *Scheduler[T]) weigh(t *team[T]) {
-	t.ratio = DominantShare(add(t.own, t.peers), s.capacity) / float64(t.weight)
+	t.ratio = DominantShare(t.own.Plus(t.peers), s.capacity) / float64(t.weight)
 }
 
 // DominantShare returns the largest fraction that used is of capacity over slots,
@@ -167,27 +167,3 @@
 	}
 	return float64(used) / float64(capacity)
 }
-
-// Fits tells whether need is within room in every resource.
-func Fits(need, room runner.Resources) bool {
-	return need.Slots <= room.Slots && need.CPUMillis <= room.CPUMillis &&
-		need.MemoryMB <= room.MemoryMB && need.Accelerators <= room.Accelerators
-}
-
-func add(a, b runner.Resources) runner.Resources {
-	return runner.Resources{
-		Slots:        a.Slots + b.Slots,
-		CPUMillis:    a.CPUMillis + b.CPUMillis,
-		MemoryMB:     a.MemoryMB + b.MemoryMB,
-		Accelerators: a.Accelerators + b.Accelerators,
-	}
-}
-
-func sub(a, b runner.Resources) runner.Resources {
-	return runner.Resources{
-		Slots:        a.Slots - b.Slots,
-		CPUMillis:    a.CPUMillis - b.CPUMillis,
-		MemoryMB:     a.MemoryMB - b.MemoryMB,
-		Accelerators: a.Accelerators - b.Accelerators,
-	}
-}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -178,7 +178,7 @@
 	if t.own != (runner.Resources{}) || t.queued() > 0 {
 		return false
 	}
-	s.total = sub(s.total, t.peers)
+	s.total = s.total.Minus(t.peers)
 	delete(s.teams, name)
 	s.order = slices.DeleteFunc(s.order, func(other *team[T]) bool { return other == t })
 	return true
@@ -188,7 +188,7 @@
 // caller leaves out peers whose reports are stale.
 func (s *Scheduler[T]) SetPeerUsage(name string, used runner.Resources) {
 	t := s.team(name)
-	s.total = add(sub(s.total, t.peers), used)
+	s.total = s.total.Minus(t.peers).Plus(used)
 	t.peers = used
 	s.weigh(t)
 }
@@ -203,10 +203,10 @@
 	if !r.Deadline.After(now) {
 		return Ticket{}, Error.Wrap(ErrDeadlinePassed)
 	}
-	if !Fits(runner.Resources{}, r.Resources) {
+	if !(runner.Resources{}).FitsIn(r.Resources) {
 		return Ticket{}, Error.Wrap(ErrBadNeed)
 	}
-	if !Fits(r.Resources, s.largest) {
+	if !r.Resources.FitsIn(s.largest) {
 		return Ticket{}, Error.Wrap(ErrNeverFits)
 	}
 	r.Enqueued = now
@@ -253,8 +253,8 @@
 	s.starts++
 	s.sequence++
 	c.team.served = s.sequence
-	c.team.own = add(c.team.own, r.Resources)
-	s.total = add(s.total, r.Resources)
+	c.team.own = c.team.own.Plus(r.Resources)
+	s.total = s.total.Plus(r.Resources)
 	s.weigh(c.team)
 	return r, true
 }
@@ -262,8 +262,8 @@
 // Finish ends the running of a request that Next returned.
 func (s *Scheduler[T]) Finish(name string, used runner.Resources) {
 	t := s.team(name)
-	t.own = sub(t.own, used)
-	s.total = sub(s.total, used)
+	t.own = t.own.Minus(used)
+	s.total = s.total.Minus(used)
 	s.weigh(t)
 }
 
@@ -333,8 +333,8 @@
 // running again until the next Finish.
 func (s *Scheduler[T]) Continue(name string, used runner.Resources) {
 	t := s.team(name)
-	t.own = add(t.own, used)
-	s.total = add(s.total, used)
+	t.own = t.own.Plus(used)
+	s.total = s.total.Plus(used)
 	s.weigh(t)
 }
 
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -139,7 +139,7 @@
 		}
 		free := s.capacity
 		free.Slots -= 48
-		fits := func(r *Request[int]) bool { return Fits(r.Resources, free) }
+		fits := func(r *Request[int]) bool { return r.Resources.FitsIn(free) }
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		means := make([]float64, n)
 		var running []Request[int]
@@ -159,11 +159,11 @@
 			}
 			for r, ok := s.Next(now, fits); ok; r, ok = s.Next(now, fits) {
 				running = append(running, r)
-				free = sub(free, r.Resources)
+				free = free.Minus(r.Resources)
 			}
 			done := rng.IntN(len(running))
 			s.Finish(running[done].Team, running[done].Resources)
-			free = add(free, running[done].Resources)
+			free = free.Plus(running[done].Resources)
 			running = append(running[:done], running[done+1:]...)
 		}
 		low, high := slices.Min(means), slices.Max(means)
@@ -209,17 +209,17 @@
 						t.Fatal(err)
 					}
 				}
-				fits := func(r *Request[int]) bool { return Fits(r.Resources, free) }
+				fits := func(r *Request[int]) bool { return r.Resources.FitsIn(free) }
 				for r, ok := s.Next(now, fits); ok; r, ok = s.Next(now, fits) {
 					if r.Value == 1 {
 						return
 					}
 					running = append(running, r)
-					free = sub(free, r.Resources)
+					free = free.Minus(r.Resources)
 				}
 				if len(running) > 0 {
 					s.Finish(running[0].Team, running[0].Resources)
-					free = add(free, running[0].Resources)
+					free = free.Plus(running[0].Resources)
 					running = running[1:]
 				}
 			}
