--- a/internal/dispatcher/journaled.go
+++ b/internal/dispatcher/journaled.go
@@ -21,6 +21,10 @@
 	ownerRetryDelay = 100 * time.Millisecond
 	// ownerRetries bounds the tries to reach an owner. The identity makes repeats safe.
 	ownerRetries = 20
+	// journalTimeout bounds the wait for the journal, so that a key-value service which
+	// hangs refuses requests instead of holding them until their deadlines. It is longer
+	// than two calls to the service: one lost answer refuses nothing.
+	journalTimeout = 3 * time.Second
 )
 
 // journaled accepts a deferrable request or runs a non-idempotent one, at the
@@ -100,14 +104,23 @@
 		return d.accept(ctx, sub)
 	}
 	// A known identity needs no slot.
-	if _, err := d.cfg.Journal.Lookup(ctx, p.id, p.Team); !errors.Is(err, journaler.ErrNotFound) {
+	lookup, cancel := context.WithTimeout(ctx, journalTimeout)
+	defer cancel()
+	_, err := d.cfg.Journal.Lookup(lookup, p.id, p.Team)
+	switch {
+	case errors.Is(err, journaler.ErrNotFound):
+		return d.runOnce(ctx, p, sub)
+	case err == nil, errors.Is(err, journaler.ErrWrongTeam):
 		return d.repeat(ctx, sub)
+	default:
+		return d.journalError(err, false)
 	}
-	return d.runOnce(ctx, p, sub)
 }
 
 // accept takes a job over. The journal runs it.
 func (d *Dispatcher) accept(ctx context.Context, sub journaler.Submission) Result {
+	ctx, cancel := context.WithTimeout(ctx, journalTimeout)
+	defer cancel()
 	out, err := d.cfg.Journal.Submit(ctx, sub)
 	if err != nil {
 		return d.journalError(err, true)
@@ -229,9 +242,15 @@
 		return &result
 	}
 	sub.Attempt = &attempt
-	out, err := d.cfg.Journal.Submit(ctx, sub)
+	commit, cancel := context.WithTimeout(ctx, journalTimeout)
+	defer cancel()
+	out, err := d.cfg.Journal.Submit(commit, sub)
 	switch {
 	case err != nil:
+		if journaler.EffectOf(err) != journaler.EffectNone {
+			// The record may exist. Its task is never sent, so recovery ends it as not run.
+			d.cfg.Journal.Detach(sub.ID, nil)
+		}
 		result = d.journalError(err, false)
 	case !out.Fresh:
 		result = d.await(ctx, sub.ID, p.Team)
@@ -287,7 +306,9 @@
 		d.cfg.Journal.Detach(sub.ID, release)
 		return d.await(ctx, sub.ID, sub.Request.Team)
 	}
-	if err := d.cfg.Journal.Finish(ctx, sub.ID, id, journaler.Finished{
+	commit, cancel := context.WithTimeout(ctx, journalTimeout)
+	defer cancel()
+	if err := d.cfg.Journal.Finish(commit, sub.ID, id, journaler.Finished{
 		Status:      answer.Status,
 		ContentType: answer.ContentType,
 		Data:        head,
