Share one function that sleeps until a context ends

Cause: coordinator, dispatcher, generator and runner each had their own copy. Change: internal/sleeper.Sleep. Conclusion: no behaviour changed.

--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -25,6 +25,7 @@
 	"github.com/comfreyford/comfreyford/internal/messenger"
 	"github.com/comfreyford/comfreyford/internal/recorder"
 	"github.com/comfreyford/comfreyford/internal/server"
+	"github.com/comfreyford/comfreyford/internal/sleeper"
 	"github.com/comfreyford/comfreyford/internal/supervisor"
 	"github.com/comfreyford/comfreyford/pkg/authenticator"
 	"github.com/comfreyford/comfreyford/pkg/configurer"
@@ -393,7 +394,7 @@
 				return nil
 			}
 		}
-		if !pause(ctx, time.Second) {
+		if !sleeper.Sleep(ctx, time.Second) {
 			return Error.New("no configuration: platform %s and the contact peers do not answer: %w", e.cfg.Settings.PlatformAddress, err)
 		}
 	}
--- a/internal/coordinator/sync.go
+++ b/internal/coordinator/sync.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreyford/comfreyford/internal/messenger"
+	"github.com/comfreyford/comfreyford/internal/sleeper"
 	"github.com/comfreyford/comfreyford/pkg/configurer"
 	"github.com/comfreyford/comfreyford/pkg/limiter"
 	"github.com/comfreyford/comfreyford/pkg/planner"
@@ -111,7 +112,7 @@
 	var known storer.Version
 	for ctx.Err() == nil {
 		if e.relay(time.Now()) != "" {
-			pause(ctx, e.cfg.Settings.ConfigPollInterval)
+			sleeper.Sleep(ctx, e.cfg.Settings.ConfigPollInterval)
 			continue
 		}
 		start := time.Now()
@@ -119,7 +120,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				e.registrar.Observe(start, err)
-				pause(ctx, e.cfg.Settings.ConfigPollInterval)
+				sleeper.Sleep(ctx, e.cfg.Settings.ConfigPollInterval)
 			}
 			continue
 		}
@@ -267,7 +268,7 @@
 			e.logger("members").Debug("member list not read", "error", err)
 		}
 		// One read a second at most, also while a peer has no record.
-		pause(ctx, syncTimeout)
+		sleeper.Sleep(ctx, syncTimeout)
 	})
 }
 
@@ -407,20 +408,8 @@
 func every(ctx context.Context, interval time.Duration, f func()) error {
 	for {
 		f()
-		if !pause(ctx, interval) {
+		if !sleeper.Sleep(ctx, interval) {
 			return nil
 		}
 	}
 }
-
-// pause returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/comfreyford/comfreyford/internal/recorder"
+	"github.com/comfreyford/comfreyford/internal/sleeper"
 	"github.com/comfreyford/comfreyford/pkg/configurer"
 	"github.com/comfreyford/comfreyford/pkg/limiter"
 	"github.com/comfreyford/comfreyford/pkg/lister"
@@ -41,7 +42,7 @@
 }
 
 func (f *fakeTarget) Start(ctx context.Context, _ runner.Task, _ io.Reader) (*runner.Answer, error) {
-	if f.delay > 0 && !sleep(ctx, f.delay) {
+	if f.delay > 0 && !sleeper.Sleep(ctx, f.delay) {
 		return nil, fmt.Errorf("%w: %w", runner.ErrOutcomeUnknown, ctx.Err())
 	}
 	f.running.Add(1)
--- a/internal/dispatcher/journaled.go
+++ b/internal/dispatcher/journaled.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/comfreyford/comfreyford/internal/sleeper"
 	"github.com/comfreyford/comfreyford/pkg/configurer"
 	"github.com/comfreyford/comfreyford/pkg/journaler"
 	"github.com/comfreyford/comfreyford/pkg/runner"
@@ -60,7 +61,7 @@
 			}
 			uncertain = uncertain || result.Outcome == OutcomeUnknown
 		}
-		if hops > 0 || !sleep(ctx, ownerRetryDelay) {
+		if hops > 0 || !sleeper.Sleep(ctx, ownerRetryDelay) {
 			break
 		}
 	}
@@ -169,7 +170,7 @@
 		if !again {
 			return result
 		}
-		if refused+1 >= maxRefusedStarts || !sleep(ctx, d.delay(refused+1)) {
+		if refused+1 >= maxRefusedStarts || !sleeper.Sleep(ctx, d.delay(refused+1)) {
 			return d.unstarted(ctx, sub, refused+1, runner.ErrNotRun)
 		}
 	}
--- a/internal/dispatcher/online.go
+++ b/internal/dispatcher/online.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/comfreyford/comfreyford/internal/sleeper"
 	"github.com/comfreyford/comfreyford/pkg/retrier"
 	"github.com/comfreyford/comfreyford/pkg/runner"
 	"github.com/comfreyford/comfreyford/pkg/scheduler"
@@ -217,7 +218,7 @@
 		if a.refused >= maxRefusedStarts {
 			return a.refuse(err), false
 		}
-		if !sleep(ctx, a.d.delay(a.refused)) {
+		if !sleeper.Sleep(ctx, a.d.delay(a.refused)) {
 			return a.refuse(ctx.Err()), false
 		}
 		return Result{}, true
@@ -227,7 +228,7 @@
 	if budget != nil {
 		return a.refuse(err), false
 	}
-	if !sleep(ctx, time.Until(at)) {
+	if !sleeper.Sleep(ctx, time.Until(at)) {
 		return a.refuse(ctx.Err()), false
 	}
 	return Result{}, true
@@ -307,15 +308,3 @@
 		Body:        answer.Body,
 	}
 }
-
-// sleep returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/generator/caller.go
+++ b/internal/generator/caller.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyford/comfreyford/internal/dispatcher"
 	"github.com/comfreyford/comfreyford/internal/emulator"
 	"github.com/comfreyford/comfreyford/internal/server"
+	"github.com/comfreyford/comfreyford/internal/sleeper"
 	"github.com/comfreyford/comfreyford/pkg/journaler"
 )
 
@@ -49,7 +50,7 @@
 			g.mu.Lock()
 			g.counts.Repeats++
 			g.mu.Unlock()
-			if !pause(ctx, retryDelay) {
+			if !sleeper.Sleep(ctx, retryDelay) {
 				break
 			}
 		}
@@ -154,7 +155,7 @@
 				return check(r, last)
 			}
 		}
-		if !pause(ctx, jobPoll) {
+		if !sleeper.Sleep(ctx, jobPoll) {
 			break
 		}
 	}
@@ -177,15 +178,3 @@
 	}
 	return OutcomeAnswered, ""
 }
-
-// pause returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/runner/keeper.go
+++ b/pkg/runner/keeper.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/comfreyford/comfreyford/internal/sleeper"
 )
 
 const (
@@ -253,7 +255,7 @@
 		} else if ctx.Err() != nil {
 			return
 		} else if !errors.Is(err, ErrSessionEnded) && time.Since(k.lastStart(s)) < k.cfg.TTL {
-			if !wait(ctx, k.cfg.RenewInterval/10) {
+			if !sleeper.Sleep(ctx, k.cfg.RenewInterval/10) {
 				return
 			}
 			continue
@@ -304,15 +306,3 @@
 		close(s.ended)
 	}
 }
-
-// wait returns false when ctx ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
