Guard against jobs that never start because their session has ended

Ruled out: the allowance of the team and the placement, which the trace of the process-level test showed to work.

--- a/pkg/journaler/limits_test.go
+++ b/pkg/journaler/limits_test.go
@@ -250,6 +250,30 @@
 	}
 }
 
+// Guards against a job that can never start again because the session of an attempt
+// that was not recorded has ended, and a worker never opens an ended session again.
+func TestJobStartsAfterItsSessionLapsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, ids := newWorld(t, 1), newIDs(1)
+		o := w.owners[0]
+		o.free = 0
+		w.members("a")
+		time.Sleep(time.Second)
+		w.submit(o, ids[0], request(1))
+		time.Sleep(time.Second)
+		o.toggle() // sessions open now, but no start can be recorded
+		o.giveBack()
+		time.Sleep(3 * o.j.cfg.SessionTTL)
+		o.toggle()
+		time.Sleep(time.Minute)
+		if r := stored(t, w.store, ids[0])[ids[0]]; r.State != StateDone {
+			t.Errorf("the job is %s after %d starts, want %s", r.State, r.Starts, StateDone)
+		}
+		o.j.Close(t.Context())
+		w.wg.Wait()
+	})
+}
+
 // Guards against a start after the right ran out between the placement and the start.
 func TestNoStartWithoutTheRight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
