Let the latency probe name the boot id of its session

Cause: since starts carry the boot id of their session, every direct call of the latency command was refused, and its figures compared with nothing.

--- a/internal/prober/paths.go
+++ b/internal/prober/paths.go
@@ -122,6 +122,7 @@
 	answer, err := client.Start(ctx, runner.Task{
 		ID:        uuid.NewString(),
 		Session:   session.ID,
+		Boot:      session.Boot,
 		Pool:      pool,
 		Method:    http.MethodGet,
 		Path:      requestPath,
