Move the relays that cut off zones from the tests to the demonstrator

Cause: they are part of what puts an installation together, not of any check, and stood in a test file. Change: demonstrator.Partition, for the process-level tests and for others that embed an installation in tests of their own. Conclusion: no check changed.

--- a/internal/verifier/relay_test.go
+++ b/internal/demonstrator/partition.go
@@ -1,4 +1,4 @@
-package verifier
+package demonstrator
 
 import (
 	"errors"
@@ -6,13 +6,11 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/comfreyford/comfreyford/internal/demonstrator"
 )
 
-// partition carries all packets between entry daemons and between them and the
+// Partition carries all packets between entry daemons and between them and the
 // platform, and drops those that cross the border of a zone that is cut off.
-type partition struct {
+type Partition struct {
 	mu      sync.Mutex
 	zones   map[string]string // of entry daemons by their peer listener
 	cutOff  string            // zone
@@ -22,26 +20,27 @@
 	wg      sync.WaitGroup
 }
 
-func newPartition() *partition {
+// NewPartition returns a Partition in which no zone is cut off.
+func NewPartition() *Partition {
 	healed := make(chan struct{})
 	close(healed)
-	return &partition{
+	return &Partition{
 		zones:  map[string]string{},
 		conns:  map[string][]net.Conn{},
 		healed: healed,
 	}
 }
 
-// cut cuts a zone off from the platform and from the other zones.
-func (p *partition) cut(zone string) {
+// Cut cuts a zone off from the platform and from the other zones.
+func (p *Partition) Cut(zone string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cutOff = zone
 	p.healed = make(chan struct{})
 }
 
-// heal ends the cut. Connections through it are reset.
-func (p *partition) heal() {
+// Heal ends the cut. Connections through it are reset.
+func (p *Partition) Heal() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, conn := range p.conns[p.cutOff] {
@@ -52,7 +51,8 @@
 	close(p.healed)
 }
 
-func (p *partition) close() {
+// Close ends all relays.
+func (p *Partition) Close() {
 	p.mu.Lock()
 	for _, c := range p.closers {
 		_ = c.Close()
@@ -70,20 +70,20 @@
 	p.wg.Wait()
 }
 
-// links implements demonstrator.Config.Links.
-func (p *partition) links(e *demonstrator.EntryProcess, platform string) (demonstrator.Links, error) {
+// Links puts the relays before an entry daemon; it serves as Config.Links.
+func (p *Partition) Links(e *EntryProcess, platform string) (Links, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return demonstrator.Links{}, err
+		return Links{}, err
 	}
 	front, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		_ = l.Close()
-		return demonstrator.Links{}, err
+		return Links{}, err
 	}
 	target, err := net.ResolveUDPAddr("udp", e.Peers)
 	if err != nil {
-		return demonstrator.Links{}, err
+		return Links{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -91,14 +91,14 @@
 	p.closers = append(p.closers, l, front)
 	p.wg.Go(func() { p.relayTCP(l, e.Zone, platform) })
 	p.wg.Go(func() { p.relayUDP(front, e.Zone, target) })
-	return demonstrator.Links{
+	return Links{
 		Platform: l.Addr().String(),
 		Peers:    front.LocalAddr().String(),
 	}, nil
 }
 
 // passage returns a channel that is closed when packets of a zone to the platform pass.
-func (p *partition) passage(zone string) <-chan struct{} {
+func (p *Partition) passage(zone string) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cutOff == zone {
@@ -109,7 +109,7 @@
 	return open
 }
 
-func (p *partition) relayTCP(l net.Listener, zone, target string) {
+func (p *Partition) relayTCP(l net.Listener, zone, target string) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -133,7 +133,7 @@
 }
 
 // pipe copies bytes from one connection to the other and stops while the zone is cut off.
-func (p *partition) pipe(to, from net.Conn, zone string) {
+func (p *Partition) pipe(to, from net.Conn, zone string) {
 	defer func() {
 		_ = to.Close()
 		_ = from.Close()
@@ -155,7 +155,7 @@
 
 // relayUDP forwards datagrams to an entry daemon. The source port tells the sender,
 // because an entry daemon sends from the socket on which it listens.
-func (p *partition) relayUDP(front net.PacketConn, zone string, target *net.UDPAddr) {
+func (p *Partition) relayUDP(front net.PacketConn, zone string, target *net.UDPAddr) {
 	flows := map[string]*net.UDPConn{}
 	defer func() {
 		for _, back := range flows {
@@ -182,7 +182,7 @@
 	}
 }
 
-func (p *partition) returnUDP(front net.PacketConn, back *net.UDPConn, sender net.Addr, zone string) {
+func (p *Partition) returnUDP(front net.PacketConn, back *net.UDPConn, sender net.Addr, zone string) {
 	buf := make([]byte, 64<<10)
 	for {
 		n, err := back.Read(buf)
@@ -191,7 +191,7 @@
 				return
 			}
 			// The port is closed while the entry daemon restarts.
-			time.Sleep(poll)
+			time.Sleep(pollInterval)
 			continue
 		}
 		if p.passes(sender.String(), zone) {
@@ -200,7 +200,7 @@
 	}
 }
 
-func (p *partition) passes(sender, zone string) bool {
+func (p *Partition) passes(sender, zone string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	from := p.zones[sender]
--- a/internal/verifier/main_test.go
+++ b/internal/verifier/main_test.go
@@ -64,7 +64,7 @@
 	*demonstrator.Installation
 	t         *testing.T
 	ctx       context.Context
-	partition *partition
+	partition *demonstrator.Partition
 }
 
 // newFixture starts two availability zones with two entry daemons each. Their links
@@ -74,8 +74,8 @@
 	t.Parallel()
 	installations <- struct{}{}
 	t.Cleanup(func() { <-installations })
-	p := newPartition()
-	t.Cleanup(p.close)
+	p := demonstrator.NewPartition()
+	t.Cleanup(p.Close)
 	dir := t.TempDir()
 	in, err := demonstrator.Start(t.Context(), demonstrator.Config{
 		Program:        program,
@@ -83,7 +83,7 @@
 		Zones:          2,
 		EntriesPerZone: 2,
 		Log:            t.Output(),
-		Links:          p.links,
+		Links:          p.Links,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/verifier/zone_test.go
+++ b/internal/verifier/zone_test.go
@@ -36,7 +36,7 @@
 			t.Fatalf("before the cut: %v", a)
 		}
 	}
-	f.partition.cut("zone-b")
+	f.partition.Cut("zone-b")
 	cut := time.Now()
 	stale := cut.Add(stalenessBound)
 	a, err := f.withdraw(outside[0], "orders-1")
@@ -68,7 +68,7 @@
 		}
 	}
 	duringCut := time.Now()
-	f.partition.heal()
+	f.partition.Heal()
 	for _, i := range inside {
 		f.await(f.Entries[i].Name+" rejoins", patience, func() error {
 			if a := f.send(f.call(i, "stock", http.MethodGet, key)); !a.done() {
