--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -18,7 +18,6 @@
 	"github.com/comfreyford/comfreyford/pkg/limiter"
 	"github.com/comfreyford/comfreyford/pkg/lister"
 	"github.com/comfreyford/comfreyford/pkg/planner"
-	"github.com/comfreyford/comfreyford/pkg/registrar"
 	"github.com/comfreyford/comfreyford/pkg/runner"
 	"github.com/comfreyford/comfreyford/pkg/storer"
 )
@@ -65,20 +64,6 @@
 
 func (f *fakeTarget) Close() {}
 
-// fakeMembers is a membership of one member whose right does not end.
-type fakeMembers struct{ right registrar.Right }
-
-func (m fakeMembers) Right() registrar.Right               { return m.right }
-func (m fakeMembers) Begin(bool) (func(), error)           { return func() {}, nil }
-func (m fakeMembers) RefreshMembers(context.Context) error { return nil }
-func (m fakeMembers) Reclaimable(string, uint64) bool      { return false }
-func (m fakeMembers) Epoch() (string, int)                 { return "", 0 }
-func (m fakeMembers) Observe(time.Time, error)             {}
-
-type noPeers struct{ Peers }
-
-func (noPeers) SpareFor(string, int) string { return "" }
-
 // loadFixture is a dispatcher with fake targets and teams that have allowance.
 type loadFixture struct {
 	*Dispatcher
@@ -126,7 +111,7 @@
 		Tree:             func() *configurer.Tree { return f.tree },
 		Fresh:            func() bool { return true },
 		Holder:           f.holder,
-		Peers:            noPeers{},
+		Peers:            unreachablePeers{},
 		Recorder:         r,
 		Logger:           hclog.NewNullLogger(),
 		MaxRequestBytes:  1 << 20,
@@ -142,15 +127,11 @@
 		Entry:       "entry",
 		Incarnation: 1,
 	}
-	members := fakeMembers{right: registrar.Right{
-		Until: time.Now().Add(time.Hour),
-		Term:  1,
-	}}
 	store := storer.NewMemory()
-	holder := limiter.NewHolder(id, members.Right)
+	holder := limiter.NewHolder(id, members{}.Right)
 	keeper := limiter.NewKeeper(limiter.Config{
 		Store:       store,
-		Members:     members,
+		Members:     members{},
 		Holder:      holder,
 		CallTimeout: time.Second,
 	})
--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -47,17 +47,17 @@
 func (members) Epoch() (string, int)                 { return "", 0 }
 func (members) Observe(time.Time, error)             {}
 
-// nobody is the absence of peers.
-type nobody struct{}
+// unreachablePeers answers as if no peer could be reached.
+type unreachablePeers struct{}
 
-func (nobody) SpareFor(string, int) string { return "" }
-func (nobody) Forward(context.Context, string, Request) Result {
+func (unreachablePeers) SpareFor(string, int) string { return "" }
+func (unreachablePeers) Forward(context.Context, string, Request) Result {
 	return NotRun(ReasonPeerUnreachable, "")
 }
-func (nobody) ForwardJob(context.Context, string, JobRequest) Result {
+func (unreachablePeers) ForwardJob(context.Context, string, JobRequest) Result {
 	return NotRun(ReasonPeerUnreachable, "")
 }
-func (nobody) TransferAllowance(context.Context, limiter.HolderID, limiter.TransferRequest) (limiter.TransferAnswer, error) {
+func (unreachablePeers) TransferAllowance(context.Context, limiter.HolderID, limiter.TransferRequest) (limiter.TransferAnswer, error) {
 	return limiter.TransferAnswer{}, nil
 }
 
@@ -92,7 +92,7 @@
 	limits := limiter.NewKeeper(limiter.Config{
 		Store:       f.store,
 		Members:     members{},
-		Peers:       nobody{},
+		Peers:       unreachablePeers{},
 		Holder:      holder,
 		CallTimeout: time.Second,
 	})
@@ -147,7 +147,7 @@
 		Tree:            func() *configurer.Tree { return tree },
 		Fresh:           func() bool { return true },
 		Holder:          holder,
-		Peers:           nobody{},
+		Peers:           unreachablePeers{},
 		Recorder:        figures,
 		Logger:          hclog.NewNullLogger(),
 		MaxRequestBytes: 1 << 20,
--- a/internal/dispatcher/job_test.go
+++ b/internal/dispatcher/job_test.go
@@ -124,7 +124,7 @@
 	})
 }
 
-// Guards against an adopted task whose size nobody knows.
+// Guards against an adopted task whose size is not known.
 func TestAdoptedTaskOfAnUnknownQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t)
--- a/internal/verifier/call_test.go
+++ b/internal/verifier/call_test.go
@@ -195,7 +195,7 @@
 // reach waits until n requests were sent.
 func (l *load) reach(n int64) {
 	l.f.t.Helper()
-	l.f.await(fmt.Sprintf("%d requests sent", n), patience*2, func() error {
+	l.f.await(fmt.Sprintf("%d requests sent", n), eventTimeout*2, func() error {
 		if sent := l.g.Counts().Sent; sent < n {
 			return fmt.Errorf("%d sent", sent)
 		}
--- a/internal/verifier/entry_test.go
+++ b/internal/verifier/entry_test.go
@@ -44,7 +44,7 @@
 		wg.Go(func() {
 			c := f.call(i%len(f.Entries), "orders", http.MethodPost, f.Keys["orders"])
 			c.duration = 3 * time.Second
-			for deadline := time.Now().Add(2 * patience); time.Now().Before(deadline); c.entry = 1 + i%(len(f.Entries)-1) {
+			for deadline := time.Now().Add(2 * eventTimeout); time.Now().Before(deadline); c.entry = 1 + i%(len(f.Entries)-1) {
 				a := f.send(c)
 				mu.Lock()
 				answers = append(answers, a)
@@ -56,7 +56,7 @@
 			}
 		})
 	}
-	f.await("long requests run", patience, func() error {
+	f.await("long requests run", eventTimeout, func() error {
 		running := 0
 		for _, run := range f.runs() {
 			if run.EndNS == 0 {
@@ -95,7 +95,7 @@
 	restarted = time.Now()
 	// The former incarnations held the allowances.
 	for i := range f.Entries {
-		f.await("keyed work at "+f.Entries[i].Name, time.Until(restarted.Add(reclaimFast+patience)), func() error {
+		f.await("keyed work at "+f.Entries[i].Name, time.Until(restarted.Add(reclaimFast+eventTimeout)), func() error {
 			if a := f.send(f.call(i, "orders", http.MethodPost, f.Keys["orders"])); !a.done() {
 				return a
 			}
@@ -140,7 +140,7 @@
 	// A job that its caller saw unfinished after 15 s may end within the recovery time.
 	for _, e := range l.g.Ended() {
 		if e.Outcome == generator.OutcomeLost {
-			f.await("end of job "+e.Identity, time.Until(restarted.Add(recoveryTimeout+patience)), func() error {
+			f.await("end of job "+e.Identity, time.Until(restarted.Add(recoveryTimeout+eventTimeout)), func() error {
 				return f.jobDone(e)
 			})
 		}
@@ -179,7 +179,7 @@
 		return c
 	})
 	others := f.load(f.Streams(), 300, 5*time.Millisecond, 50*time.Millisecond)
-	f.await("long requests run", patience, func() error {
+	f.await("long requests run", eventTimeout, func() error {
 		n := 0
 		for _, run := range f.runs() {
 			if run.EndNS == 0 {
@@ -191,7 +191,7 @@
 		}
 		return nil
 	})
-	ctx, cancel := context.WithTimeout(f.ctx, patience)
+	ctx, cancel := context.WithTimeout(f.ctx, eventTimeout)
 	defer cancel()
 	if err := f.Entries[entry].Stop(ctx); err != nil {
 		t.Errorf("stop: %v", err)
--- a/internal/verifier/frozen_test.go
+++ b/internal/verifier/frozen_test.go
@@ -49,7 +49,7 @@
 	}}
 	before := f.load(orders, 400, 5*time.Millisecond, 100*time.Millisecond)
 	before.reach(100)
-	f.await(e.Name+" holds an allowance", patience, func() error {
+	f.await(e.Name+" holds an allowance", eventTimeout, func() error {
 		if n, err := f.allowance(store, "orders", e.Name); n == 0 {
 			return fmt.Errorf("allowance %d, %w", n, err)
 		}
@@ -60,7 +60,7 @@
 	}
 	defer func() { _ = e.Signal(syscall.SIGCONT) }()
 	before.check()
-	f.await("allowance of the frozen holder is reclaimed", reclaimSlow+patience, func() error {
+	f.await("allowance of the frozen holder is reclaimed", reclaimSlow+eventTimeout, func() error {
 		if n, err := f.allowance(store, "orders", e.Name); n > 0 || err != nil {
 			return fmt.Errorf("allowance %d, %w", n, err)
 		}
@@ -73,7 +73,7 @@
 	}
 	during.check()
 	before.check()
-	f.await(e.Name+" rejoins", patience, func() error {
+	f.await(e.Name+" rejoins", eventTimeout, func() error {
 		if a := f.send(f.call(frozen, "orders", http.MethodPost, f.Keys["orders"])); !a.done() {
 			return a
 		}
--- a/internal/verifier/main_test.go
+++ b/internal/verifier/main_test.go
@@ -20,15 +20,15 @@
 const (
 	stalenessBound  = 3530 * time.Millisecond  // section 5.2: 3 s, 1% drift and 500 ms
 	leavingBound    = 3 * time.Second          // section 5.12: a target without an answer for 3 s is not used
-	reclaimSlow     = 81800 * time.Millisecond // section 5.5: holder without a sign of life
+	reclaimSlow     = 81800 * time.Millisecond // section 5.5: holder whose heartbeat stands still
 	reclaimFast     = 21200 * time.Millisecond // section 5.5: holder with a new incarnation
 	recoveryTimeout = 60 * time.Second         // section 5.7: search for a task
 )
 
 const (
-	// patience bounds the wait for an event for which the design page states no time.
-	patience = 30 * time.Second
-	poll     = 20 * time.Millisecond
+	// eventTimeout bounds the wait for an event for which the design page states no time.
+	eventTimeout = 30 * time.Second
+	poll         = 20 * time.Millisecond
 	// maxInstallations run at a time, because each is about 15 processes.
 	maxInstallations = 4
 )
@@ -130,7 +130,7 @@
 // ready tells whether an entry daemon serves.
 func (f *fixture) awaitServing(i int) {
 	f.t.Helper()
-	f.await(f.Entries[i].Name+" serves", patience, func() error {
+	f.await(f.Entries[i].Name+" serves", eventTimeout, func() error {
 		if a := f.send(f.call(i, "quotes", "GET", "")); !a.done() {
 			return a
 		}
--- a/internal/verifier/operator_test.go
+++ b/internal/verifier/operator_test.go
@@ -184,7 +184,7 @@
 		c.duration = 700 * time.Millisecond
 		return c
 	})
-	f.await("more work than the lowered limit runs", patience, func() error {
+	f.await("more work than the lowered limit runs", eventTimeout, func() error {
 		if n := peak(f.runs(), "orders", time.Time{}); n <= lowered {
 			return fmt.Errorf("peak is %d", n)
 		}
@@ -199,7 +199,7 @@
 		t.Fatalf("change: %+v, %v", a, err)
 	}
 	inForce := time.Now()
-	f.await("work goes on under the lowered limit", patience, func() error {
+	f.await("work goes on under the lowered limit", eventTimeout, func() error {
 		n := 0
 		for _, run := range f.runs() {
 			if run.Team == "orders" && run.StartNS > inForce.UnixNano() {
--- a/internal/verifier/worker_test.go
+++ b/internal/verifier/worker_test.go
@@ -71,7 +71,7 @@
 		}
 		return c
 	})
-	f.await("worker has long work", patience, func() error {
+	f.await("worker has long work", eventTimeout, func() error {
 		for _, run := range f.runsOf(w) {
 			if run.EndNS == 0 {
 				return nil
@@ -123,7 +123,7 @@
 			shop++
 		}
 	}
-	f.await("the other workers ran enough", patience, func() error {
+	f.await("the other workers ran enough", eventTimeout, func() error {
 		if n := len(f.runs()); n < 600 {
 			return fmt.Errorf("%d runs", n)
 		}
@@ -185,7 +185,7 @@
 		c.duration = 500 * time.Millisecond
 		return c
 	})
-	f.await("non-idempotent work runs on the worker", patience, func() error {
+	f.await("non-idempotent work runs on the worker", eventTimeout, func() error {
 		for _, run := range f.runsOf(w) {
 			if run.Team == "orders" && run.EndNS == 0 {
 				return nil
--- a/internal/verifier/zone_test.go
+++ b/internal/verifier/zone_test.go
@@ -49,7 +49,7 @@
 		t.Fatalf("grant while a zone is cut off: %+v, %v", a, err)
 	}
 	for _, i := range outside {
-		f.await("new key outside the cut zone", patience, func() error {
+		f.await("new key outside the cut zone", eventTimeout, func() error {
 			if a := f.send(f.call(i, "orders", http.MethodPost, key)); !a.done() {
 				return a
 			}
@@ -70,7 +70,7 @@
 	duringCut := time.Now()
 	f.partition.Heal()
 	for _, i := range inside {
-		f.await(f.Entries[i].Name+" rejoins", patience, func() error {
+		f.await(f.Entries[i].Name+" rejoins", eventTimeout, func() error {
 			if a := f.send(f.call(i, "stock", http.MethodGet, key)); !a.done() {
 				return a
 			}
