Give every setting an effect, and record the added latency

Cause: interactive_timeout, deferrable_timeout, silence_timeout, health_interval and journal_body_limit were read and checked, but nothing used them; the metric of the added latency was never recorded. Change: the dispatcher takes all five; an idempotent request records its time in the daemon without the time at targets. Handlers of peers that state their name have a file of their own. Ruled out: removing the settings; operators need them for slow applications.

--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -211,6 +211,12 @@
 		MaxRequestBytes:  s.RequestBodyLimitBytes,
 		MaxAnswerBytes:   s.AnswerBodyLimitBytes,
 		Seed:             e.incarnation,
+
+		MaxJournalBytes:    s.JournalBodyLimitBytes,
+		InteractiveTimeout: s.InteractiveTimeout,
+		DeferrableTimeout:  s.DeferrableTimeout,
+		HealthInterval:     s.HealthInterval,
+		SilenceLimit:       s.SilenceTimeout,
 	})
 	e.journal = journaler.New(journaler.Config{
 		Store:           e.store,
@@ -473,24 +479,3 @@
 		KeyID: credential.ID,
 	}, ""
 }
-
-func (e *Entry) servePromise(ctx context.Context, peer string, r registrar.PromiseRequest) (registrar.PromiseAnswer, error) {
-	if r.Entry != peer {
-		return registrar.PromiseAnswer{}, Error.New("request of %q came with the certificate of %q", r.Entry, peer)
-	}
-	return e.registrar.ServePromise(ctx, r), nil
-}
-
-func (e *Entry) serveConfirm(_ context.Context, peer string, r registrar.ConfirmRequest) (registrar.ConfirmAnswer, error) {
-	if r.Member.Entry != peer {
-		return registrar.ConfirmAnswer{}, Error.New("request of %q came with the certificate of %q", r.Member.Entry, peer)
-	}
-	return e.registrar.ServeConfirm(r), nil
-}
-
-func (e *Entry) serveTransfer(ctx context.Context, peer string, r limiter.TransferRequest) (limiter.TransferAnswer, error) {
-	if r.Taker.Entry != peer {
-		return limiter.TransferAnswer{}, Error.New("request of %q came with the certificate of %q", r.Taker.Entry, peer)
-	}
-	return e.limits.ServeTransfer(ctx, r)
-}
--- /dev/null
+++ b/internal/coordinator/handlers.go
@@ -0,0 +1,32 @@
+package coordinator
+
+import (
+	"context"
+
+	"github.com/comfreyford/comfreyford/pkg/limiter"
+	"github.com/comfreyford/comfreyford/pkg/registrar"
+)
+
+// The handlers of this file answer requests that state who sent them. The name in a
+// request must be that of the sender's certificate.
+
+func (e *Entry) servePromise(ctx context.Context, peer string, r registrar.PromiseRequest) (registrar.PromiseAnswer, error) {
+	if r.Entry != peer {
+		return registrar.PromiseAnswer{}, Error.New("request of %q came with the certificate of %q", r.Entry, peer)
+	}
+	return e.registrar.ServePromise(ctx, r), nil
+}
+
+func (e *Entry) serveConfirm(_ context.Context, peer string, r registrar.ConfirmRequest) (registrar.ConfirmAnswer, error) {
+	if r.Member.Entry != peer {
+		return registrar.ConfirmAnswer{}, Error.New("request of %q came with the certificate of %q", r.Member.Entry, peer)
+	}
+	return e.registrar.ServeConfirm(r), nil
+}
+
+func (e *Entry) serveTransfer(ctx context.Context, peer string, r limiter.TransferRequest) (limiter.TransferAnswer, error) {
+	if r.Taker.Entry != peer {
+		return limiter.TransferAnswer{}, Error.New("request of %q came with the certificate of %q", r.Taker.Entry, peer)
+	}
+	return e.limits.ServeTransfer(ctx, r)
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -58,6 +58,12 @@
 	MaxRequestBytes int64
 	MaxAnswerBytes  int64
 	Seed            uint64
+
+	MaxJournalBytes    int64         // body of a journaled request; default and maximum journaler.MaxBlobBytes
+	InteractiveTimeout time.Duration // of a request that states none and whose caller is on the line; default 30 s
+	DeferrableTimeout  time.Duration // of deferrable work that states none; default 1 h
+	HealthInterval     time.Duration // between health and usage requests to a target; default 1 s
+	SilenceLimit       time.Duration // after which a connection to a target is replaced; default 2 s
 	// Connect returns the client of the worker at an address; nil means a runner.Client.
 	Connect func(address string) Target
 }
@@ -85,14 +91,7 @@
 // New returns a Dispatcher without targets. SetJournal must be called before the
 // first request.
 func New(cfg Config) *Dispatcher {
-	if cfg.Connect == nil {
-		cfg.Connect = func(address string) Target {
-			return runner.NewClient(runner.ClientConfig{
-				Address:      address,
-				MaxBodyBytes: cfg.MaxAnswerBytes,
-			})
-		}
-	}
+	cfg = cfg.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Dispatcher{
 		cfg:     cfg,
@@ -113,6 +112,36 @@
 	return d
 }
 
+// withDefaults fills in the fields that may be zero. The timeouts of requests have
+// their defaults in retrier, those of connections in runner.
+func (c Config) withDefaults() Config {
+	if c.MaxJournalBytes <= 0 || c.MaxJournalBytes > journaler.MaxBlobBytes {
+		c.MaxJournalBytes = journaler.MaxBlobBytes
+	}
+	if c.HealthInterval <= 0 {
+		c.HealthInterval = usageInterval
+	}
+	if c.Connect == nil {
+		c.Connect = func(address string) Target {
+			return runner.NewClient(runner.ClientConfig{
+				Address:        address,
+				MaxBodyBytes:   c.MaxAnswerBytes,
+				HealthInterval: c.HealthInterval,
+				SilenceLimit:   c.SilenceLimit,
+			})
+		}
+	}
+	return c
+}
+
+// timeout returns the time of a request that states none; zero selects the default.
+func (c Config) timeout(class configurer.Class) time.Duration {
+	if class == configurer.ClassDeferrable {
+		return c.DeferrableTimeout
+	}
+	return c.InteractiveTimeout
+}
+
 // SetJournal completes the construction: the journal itself needs the dispatcher.
 func (d *Dispatcher) SetJournal(j *journaler.Journal) {
 	d.cfg.Journal = j
@@ -406,7 +435,7 @@
 		return refuse(ReasonKeyRefused, "the key was withdrawn")
 	}
 	if r.Deadline.IsZero() {
-		r.Deadline = retrier.Deadline(now, 0, queue.Class)
+		r.Deadline = retrier.Deadline(now, d.cfg.timeout(queue.Class), queue.Class)
 	}
 	if !r.Deadline.After(now) {
 		return refuse(ReasonDeadline, "the deadline has passed")
--- a/internal/dispatcher/journaled.go
+++ b/internal/dispatcher/journaled.go
@@ -31,7 +31,7 @@
 // journaled accepts a deferrable request or runs a non-idempotent one, at the
 // entry daemon that owns the shard of its identity.
 func (d *Dispatcher) journaled(ctx context.Context, p *plan) Result {
-	body, err := readWhole(p.Body, journaler.MaxBlobBytes)
+	body, err := readWhole(p.Body, d.cfg.MaxJournalBytes)
 	if err != nil {
 		return bodyRefusal(err)
 	}
--- a/internal/dispatcher/leak_test.go
+++ b/internal/dispatcher/leak_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"runtime/pprof"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -135,3 +136,23 @@
 		t.Error(err)
 	}
 }
+
+// Guards against settings that are read and checked but have no effect.
+func TestConfigDecidesDeadlineAndJournalBody(t *testing.T) {
+	f := newLoadFixture(t, 1, 0)
+	defer f.Close()
+	f.cfg.InteractiveTimeout = 7 * time.Second
+	f.cfg.MaxJournalBytes = 4
+	now := time.Now()
+	p, refusal := f.admit(Request{
+		Queue:  "open",
+		Method: "GET",
+	}, now)
+	if refusal != nil || !p.Deadline.Equal(now.Add(7*time.Second)) {
+		t.Fatalf("got %+v, %+v, want a deadline after 7 s", p, refusal)
+	}
+	p.Body = strings.NewReader("12345")
+	if result := f.journaled(t.Context(), p); result.Outcome != OutcomeNotRun || result.Reason != ReasonBodyTooLarge {
+		t.Fatalf("got %+v, want not_run with body_too_large", result)
+	}
+}
--- a/internal/dispatcher/online.go
+++ b/internal/dispatcher/online.go
@@ -106,8 +106,10 @@
 	body    *source
 	start   time.Time
 	started time.Time // of the first attempt
-	refused int
-	retries int
+	// atTargets is the time between starts and the beginning of their answers.
+	atTargets time.Duration
+	refused   int
+	retries   int
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
 }
@@ -144,7 +146,9 @@
 		return nil, err
 	}
 	task := a.d.task(a.p, uuid.NewString(), session)
+	sent := time.Now()
 	answer, err := g.target.client.Start(ctx, task, a.body.open())
+	a.atTargets += time.Since(sent)
 	if err == nil {
 		body := &answerBody{ReadCloser: answer.Body}
 		answer.Body = &closer{
@@ -300,6 +304,7 @@
 // answer passes the application's answer on.
 func (a *attempts) answer(g *grant, answer *runner.Answer) Result {
 	a.d.cfg.Recorder.Attempt(a.p.pool.name, "done")
+	a.d.cfg.Recorder.Added(string(a.p.queue.Class), time.Since(a.start)-a.atTargets)
 	a.p.pool.record(g.target, answer.Status < http.StatusInternalServerError)
 	return Result{
 		Outcome:     OutcomeDone,
--- a/internal/dispatcher/target.go
+++ b/internal/dispatcher/target.go
@@ -160,7 +160,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(usageInterval):
+		case <-time.After(t.pool.d.cfg.HealthInterval):
 		}
 	}
 }
--- a/internal/loader/table.go
+++ b/internal/loader/table.go
@@ -84,7 +84,7 @@
 		size("request_body_limit", 1<<20, 1<<10, 1<<30, "body of a request", func(s *Settings) *int64 { return &s.RequestBodyLimitBytes }),
 		size("answer_body_limit", 16<<20, 1<<10, 1<<30, "body of an answer", func(s *Settings) *int64 { return &s.AnswerBodyLimitBytes }),
 		// Values of the key-value service have at most 1 MB; half of it leaves room for the record.
-		size("journal_body_limit", 512<<10, 1<<10, 512<<10, "body or result that is kept in the journal", func(s *Settings) *int64 { return &s.JournalBodyLimitBytes }),
+		size("journal_body_limit", 512<<10, 1<<10, 512<<10, "body of a deferrable or non-idempotent request, which the journal keeps", func(s *Settings) *int64 { return &s.JournalBodyLimitBytes }),
 		size("operator_body_limit", 1<<20, 64<<10, 16<<20, "body of a request of an operator", func(s *Settings) *int64 { return &s.OperatorBodyLimitBytes }),
 	}
 }
--- a/internal/recorder/table.go
+++ b/internal/recorder/table.go
@@ -81,7 +81,7 @@
 			Kind:   KindHistogram,
 			Unit:   "s",
 			Labels: "class",
-			Help:   "time in the entry daemon without the time at targets",
+			Help:   "time of idempotent requests in the entry daemon, in its queue too, without the time at targets",
 		},
 		{
 			Name:   Requests,
