Scale the cost of a VM move by the operators' weights

Cause: the weights of the policy document were checked and stored, but no decision used them. Change: the cost of a move is 5 VM-seconds times weight_moves / weight_share; two rows of measure show eight times and an eighth of it. All other rows are as before.

--- a/internal/measurer/measurer.go
+++ b/internal/measurer/measurer.go
@@ -16,6 +16,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/comfreyford/comfreyford/pkg/planner"
 	"github.com/comfreyford/comfreyford/pkg/rebalancer"
 	"github.com/comfreyford/comfreyford/pkg/scheduler"
 )
@@ -43,13 +44,16 @@
 
 // Policies returns the policies that are compared. The first is the reference without moves.
 func Policies() []Policy {
-	hysteresis := func() rebalancer.Rebalancing {
-		return &rebalancer.Hysteresis{
-			MoveDelay:   5 * time.Second,
-			ReturnDelay: time.Minute,
-			MoveCost:    5,
+	costing := func(moveCost float64) func() rebalancer.Rebalancing {
+		return func() rebalancer.Rebalancing {
+			return &rebalancer.Hysteresis{
+				MoveDelay:   5 * time.Second,
+				ReturnDelay: time.Minute,
+				MoveCost:    moveCost,
+			}
 		}
 	}
+	hysteresis := costing(planner.DefaultMoveCost)
 	threshold := scheduler.UtilisationThreshold{
 		Below:   0.7,
 		Reserve: 10 * time.Minute,
@@ -115,6 +119,18 @@
 			Deferrable:     threshold,
 			MaxUnavailable: 2,
 		},
+		{
+			Name:           "hysteresis+moves_x8", // weight_moves is eight times weight_share
+			Rebalancing:    costing(8 * planner.DefaultMoveCost),
+			Deferrable:     threshold,
+			MaxUnavailable: 1,
+		},
+		{
+			Name:           "hysteresis+share_x8", // weight_share is eight times weight_moves
+			Rebalancing:    costing(planner.DefaultMoveCost / 8.0),
+			Deferrable:     threshold,
+			MaxUnavailable: 1,
+		},
 	}
 }
 
--- a/pkg/planner/mover.go
+++ b/pkg/planner/mover.go
@@ -87,11 +87,25 @@
 	return nil
 }
 
+// moveCost scales the cost of a move by the operators' weights: those who weigh moves
+// more wait for more waiting work before a move, those who weigh share more for less.
+func moveCost(base float64, p configurer.Policy) float64 {
+	switch {
+	case p.WeightMoves <= 0:
+		return 0
+	case p.WeightShare <= 0:
+		return math.Inf(1)
+	default:
+		return base * p.WeightMoves / p.WeightShare
+	}
+}
+
 func (m *Mover) decide(now time.Time, f Fleet) {
 	settings := m.cfg.Policy()
 	if m.policy == nil {
-		m.policy = &rebalancer.Hysteresis{MoveCost: m.cfg.MoveCost}
+		m.policy = &rebalancer.Hysteresis{}
 	}
+	m.policy.MoveCost = moveCost(m.cfg.MoveCost, settings)
 	m.policy.MoveDelay = time.Duration(settings.MoveDelay)
 	m.policy.ReturnDelay = time.Duration(settings.ReturnDelay)
 	load := m.cfg.Load()
--- a/pkg/planner/mover_test.go
+++ b/pkg/planner/mover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -119,6 +120,45 @@
 	}
 }
 
+// Guards against weights of operators that change nothing.
+func TestMoveCostFollowsTheWeights(t *testing.T) {
+	cases := []struct {
+		name   string
+		policy configurer.Policy
+		want   float64
+	}{
+		{
+			name:   "default",
+			policy: configurer.DefaultPolicy(),
+			want:   DefaultMoveCost,
+		},
+		{
+			name: "moves weigh more",
+			policy: configurer.Policy{
+				WeightMoves: 4,
+				WeightShare: 2,
+			},
+			want: 2 * DefaultMoveCost,
+		},
+		{
+			name:   "only share counts",
+			policy: configurer.Policy{WeightShare: 1},
+		},
+		{
+			name:   "only moves count",
+			policy: configurer.Policy{WeightMoves: 1},
+			want:   math.Inf(1),
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := moveCost(DefaultMoveCost, c.policy); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a move that is made twice, or for another VM as well, when its answer
 // was lost and the first write took effect.
 func TestMoverMakesAMoveOnceWhenItsAnswerIsLost(t *testing.T) {
