Let forwards keep an answer that comes before the end of the request

Cause: messenger.Call was mended for peers that answer early, but forwards sent and closed by themselves and reported such an answer as lost: a peer that refused with not_run became an unknown outcome. A forwarded body beyond the receiver's limit was cut there and looked whole. Change: Stream.Exchange sends a body, ends the request and takes the answer, for Call and for forwards; only an error of reading the body aborts. CloseSend is gone. The receiver bounds the body with an error in place of a cut. Ruled out: a second special case in forward.go. Conclusion: one mechanism serves both paths.

--- a/internal/coordinator/forward.go
+++ b/internal/coordinator/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/comfreyford/comfreyford/internal/dispatcher"
@@ -48,23 +49,12 @@
 	if err != nil {
 		return dispatcher.Unknown(dispatcher.ReasonPeerLost, err.Error())
 	}
-	lost := func(err error) dispatcher.Result {
+	var answer forwardAnswer
+	if err := s.Exchange(body, &answer); err != nil {
 		s.Abort()
 		s.Close()
 		return dispatcher.Unknown(dispatcher.ReasonPeerLost, err.Error())
 	}
-	if body != nil {
-		if err := s.SendBody(body); err != nil {
-			return lost(err)
-		}
-	}
-	if err := s.CloseSend(); err != nil {
-		return lost(err)
-	}
-	var answer forwardAnswer
-	if err := s.Receive(&answer); err != nil {
-		return lost(err)
-	}
 	result := dispatcher.Result{
 		Outcome:     answer.Outcome,
 		Reason:      answer.Reason,
@@ -111,7 +101,7 @@
 		Team:        r.Team,
 		KeyID:       r.KeyID,
 		Deadline:    time.Now().Add(r.Timeout),
-		Body:        io.LimitReader(s.Body(), e.cfg.Settings.RequestBodyLimitBytes+1),
+		Body:        http.MaxBytesReader(nil, io.NopCloser(s.Body()), e.cfg.Settings.RequestBodyLimitBytes),
 		Hops:        r.Hops,
 	}))
 }
--- a/internal/coordinator/forward_test.go
+++ b/internal/coordinator/forward_test.go
@@ -245,3 +245,17 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a refusal that becomes an unknown outcome because the peer answered
+// before it had read the whole body.
+func TestEarlyRefusalOfPeerIsNotLost(t *testing.T) {
+	p, _ := newPair(t, func(_ context.Context, _ string, s *messenger.Stream) error {
+		return answerForward(s, dispatcher.NotRun(dispatcher.ReasonDraining, "stopping"))
+	})
+	for range 20 {
+		result := p.Forward(t.Context(), "owner", request(strings.Repeat("x", 4<<20)))
+		if result.Outcome != dispatcher.OutcomeNotRun || result.Reason != dispatcher.ReasonDraining {
+			t.Fatalf("got %+v, want not_run with draining", result)
+		}
+	}
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -230,7 +230,7 @@
 		return answer, err
 	}
 	defer s.Close()
-	if err := s.exchange(&answer); err != nil {
+	if err := s.Exchange(nil, &answer); err != nil {
 		s.Abort()
 		return answer, err
 	}
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -234,7 +234,7 @@
 			if err := s.SendBody(bytes.NewReader(want)); err != nil {
 				t.Fatal(err)
 			}
-			if err := s.CloseSend(); err != nil {
+			if err := s.stream.Close(); err != nil {
 				t.Fatal(err)
 			}
 			var answer echo
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -56,14 +56,38 @@
 	return nil
 }
 
-// exchange ends the request and waits for the answer.
-func (s *Stream) exchange(answer any) error {
-	// A server that has answered stops reading, and Close then reports a canceled stream
-	// although the answer is there. A stream that really ended fails in Receive.
+// Exchange sends the body, if there is one, ends the request and waits for the answer.
+// An error of reading the body aborts the request.
+func (s *Stream) Exchange(body io.Reader, answer any) error {
+	// A server may answer before it has read the whole request. It then stops reading,
+	// and sending or Close reports a canceled stream although the answer is there. A
+	// stream that really ended fails in Receive.
+	if body != nil {
+		source := &source{Reader: body}
+		if err := s.SendBody(source); err != nil && source.err != nil {
+			s.Abort()
+			return err
+		}
+	}
 	_ = s.stream.Close()
 	return s.Receive(answer)
 }
 
+// source notes an error of reading, which io.Copy does not tell from one of writing.
+type source struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *source) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && err != io.EOF { // a wrapped io.EOF is a broken body, not its end
+		r.err = err
+	}
+	return n, err
+}
+
 // SendBody sends a whole body after the message.
 func (s *Stream) SendBody(r io.Reader) error {
 	w := newBodyWriter(s.stream)
@@ -73,14 +97,6 @@
 	return w.Close()
 }
 
-// CloseSend ends the sending direction.
-func (s *Stream) CloseSend() error {
-	if err := s.stream.Close(); err != nil {
-		return Error.Wrap(err)
-	}
-	return nil
-}
-
 // Body returns the body that follows the message. It returns ErrTruncated
 // instead of io.EOF when the body is not whole.
 func (s *Stream) Body() io.Reader {
--- a/internal/messenger/stream_test.go
+++ b/internal/messenger/stream_test.go
@@ -22,7 +22,7 @@
 	defer s.Close()
 	<-s.stream.Context().Done() // the server has stopped reading
 	var got echo
-	if err := s.exchange(&got); err != nil || got.Text != "x" {
+	if err := s.Exchange(nil, &got); err != nil || got.Text != "x" {
 		t.Errorf("got %q, %v", got.Text, err)
 	}
 }
