--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -20,6 +20,7 @@
 	return []*cli.Command{
 		demoCommand(),
 		entryCommand(),
+		manageCommand(),
 		loadCommand(),
 		platformCommand(),
 		workerCommand(),
--- /dev/null
+++ b/internal/commander/manage.go
@@ -0,0 +1,58 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/comfreyford/comfreyford/internal/logger"
+	"github.com/comfreyford/comfreyford/platform"
+)
+
+// This file runs a daemon on the users' platform, whose settings file it reads.
+// Logs go to standard output as JSON lines; SIGTERM stops it gracefully.
+
+const manageUsage = "run a daemon on the users' platform"
+
+func manageCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "manage",
+		Usage: manageUsage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:    "settings",
+				Usage:   "settings `FILE` of the platform",
+				Sources: cli.EnvVars(platform.SettingsVariable),
+			},
+			&cli.StringFlag{
+				Name:  "log-level",
+				Usage: "least `LEVEL` that is logged: debug, info, warn or error",
+				Value: "info",
+			},
+		},
+		Action: runManage,
+	}
+}
+
+func runManage(ctx context.Context, cmd *cli.Command) error {
+	if err := noArguments(cmd); err != nil {
+		return err
+	}
+	path := cmd.String("settings")
+	if path == "" {
+		return fmt.Errorf("manage: --settings: want a settings file, or its path in %s", platform.SettingsVariable)
+	}
+	level := hclog.LevelFromString(cmd.String("log-level"))
+	if level == hclog.NoLevel {
+		return fmt.Errorf("manage: --log-level: want debug, info, warn or error, got %q", cmd.String("log-level"))
+	}
+	log := logger.New(os.Stdout, "comfreyford", level)
+	defer log.Close()
+	if err := platform.Run(ctx, path, log); err != nil {
+		return fmt.Errorf("manage: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/jobkeeper/progress.go
@@ -0,0 +1,123 @@
+package jobkeeper
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// State is the state of a job as callers see it.
+type State string
+
+// The states of a job. Refused marks an identity whose job was turned away; a
+// later request with the identity may still be accepted.
+const (
+	StateQueued    State = "queued"
+	StateRunning   State = "running"
+	StateComplete  State = "complete"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+	StateRefused   State = "refused"
+)
+
+// Ended reports whether no task of the job starts any more.
+func (s State) Ended() bool {
+	return s == StateComplete || s == StateFailed || s == StateCancelled
+}
+
+// TaskKey names a task within its job. Index is zero for a gang.
+type TaskKey struct {
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// TaskID names a task across all jobs.
+type TaskID struct {
+	Job string
+	TaskKey
+}
+
+// String returns the form job.occurrence.step.index.
+func (t TaskID) String() string {
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// ParseTaskID reads the form that String writes.
+func ParseTaskID(s string) (TaskID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 || parts[0] == "" {
+		return TaskID{}, Error.New("task id: want job.occurrence.step.index, got %q", s)
+	}
+	var numbers [3]int
+	for i := range numbers {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return TaskID{}, Error.New("task id: want whole numbers after the job, got %q", s)
+		}
+		numbers[i] = n
+	}
+	return TaskID{
+		Job: parts[0],
+		TaskKey: TaskKey{
+			Occurrence: numbers[0],
+			Step:       numbers[1],
+			Index:      numbers[2],
+		},
+	}, nil
+}
+
+// Note is what is recorded of a task.
+type Note struct {
+	Occurrence int  `cbor:"1,keyasint,omitempty"`
+	Step       int  `cbor:"2,keyasint,omitempty"`
+	Index      int  `cbor:"3,keyasint,omitempty"`
+	Done       bool `cbor:"4,keyasint,omitempty"`
+	Failures   int  `cbor:"5,keyasint,omitempty"` // runs that ended as failed
+}
+
+// Progress is the recorded progress of a job. Tasks without a note have neither
+// ended nor failed.
+type Progress struct {
+	State    State  `cbor:"1,keyasint"`
+	Queue    string `cbor:"2,keyasint,omitempty"`
+	Team     string `cbor:"3,keyasint,omitempty"`
+	EndedMS  int64  `cbor:"4,keyasint,omitempty"` // Unix time at which the job ended
+	Reason   string `cbor:"5,keyasint,omitempty"` // why the job failed or was refused
+	Finished int    `cbor:"6,keyasint,omitempty"` // occurrences below this number are done
+	Notes    []Note `cbor:"7,keyasint,omitempty"`
+}
+
+// Keys of the store. Documents and cancellations share a prefix that the owner
+// follows; progress has one of its own, so that the owner's writes do not wake it.
+const (
+	intakePrefix   = "intake/"
+	DocumentPrefix = intakePrefix + "job/"
+	CancelPrefix   = intakePrefix + "cancel/"
+	ProgressPrefix = "progress/"
+)
+
+// IntakePrefix covers documents and cancellations.
+const IntakePrefix = intakePrefix
+
+// DocumentKey returns the key of the document of a job.
+func DocumentKey(id string) string { return DocumentPrefix + id }
+
+// CancelKey returns the key that asks for the end of a job.
+func CancelKey(id string) string { return CancelPrefix + id }
+
+// ProgressKey returns the key of the progress of a job.
+func ProgressKey(id string) string { return ProgressPrefix + id }
+
+// ValidateID checks the form of an identity that is part of keys and task ids.
+func ValidateID(id string) error {
+	if len(id) == 0 || len(id) > 64 {
+		return Error.New("identity: want 1 to 64 characters, got %d", len(id))
+	}
+	for _, c := range id {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && c != '-' && c != '_' {
+			return Error.New("identity: want letters, digits, - and _, got %q", fmt.Sprint(id))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/orchestrator/advice.go
@@ -0,0 +1,102 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/packer"
+)
+
+// maxAdvisedTargets bounds the targets named in one question to the adviser,
+// which takes time for each.
+const maxAdvisedTargets = 30
+
+// advice is what the adviser said of a step.
+type advice struct {
+	tickets map[string]string // by target
+	until   time.Duration
+	askedAt time.Duration
+	waiting bool
+}
+
+func (a *advice) forget() {
+	a.tickets = nil
+	a.until = 0
+}
+
+// Question asks the adviser which targets may run a step.
+type Question struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Targets    []string
+}
+
+// adviceTimeout is the time after which an unanswered question is asked again.
+const adviceTimeout = 3 * time.Second
+
+// advised reports whether the tasks of a step may be placed, and asks the
+// adviser if it has to be asked first.
+func (e *Engine) advised(s *stepState, p *pool, now time.Duration) bool {
+	if !e.conf.Queues[s.job.doc.Queue].Advised {
+		return true
+	}
+	if s.advice.tickets != nil && now < s.advice.until {
+		return true
+	}
+	if s.advice.waiting && now-s.advice.askedAt < adviceTimeout {
+		return false
+	}
+	s.advice.waiting = true
+	s.advice.askedAt = now
+	q := Question{
+		Job:        s.job.doc.ID,
+		Occurrence: s.occurrence.number,
+		Step:       s.index,
+	}
+	for i, v := range e.view(p, s, now) {
+		if len(q.Targets) < maxAdvisedTargets && !v.Closed && packer.Possible(s.step, &v) {
+			q.Targets = append(q.Targets, p.targets[i].ID)
+		}
+	}
+	if len(q.Targets) > 0 {
+		e.questions = append(e.questions, q)
+	}
+	return false
+}
+
+// Questions returns the questions for the adviser and forgets them.
+func (e *Engine) Questions() []Question {
+	questions := e.questions
+	e.questions = nil
+	return questions
+}
+
+// Advised takes the answer of the adviser. askedAt is when the question was sent.
+func (e *Engine) Advised(q Question, tickets map[string]string, validity, askedAt time.Duration, err error) {
+	j := e.jobs[q.Job]
+	if j == nil || j.occurrences[q.Occurrence] == nil {
+		return
+	}
+	s := j.occurrences[q.Occurrence].steps[q.Step]
+	s.advice.waiting = false
+	if err != nil {
+		e.cfg.Logger.Warn("adviser did not answer", "job", q.Job, "step", q.Step, "error", err)
+		return
+	}
+	s.advice.tickets = tickets
+	s.advice.until = askedAt + validity
+	e.cfg.Logger.Info("adviser answered", "job", q.Job, "step", q.Step, "asked", len(q.Targets), "approved", len(tickets))
+}
+
+// approved closes the targets for which a step on an advised queue has no ticket.
+func (e *Engine) approved(s *stepState, views []packer.Target) []packer.Target {
+	if !e.conf.Queues[s.job.doc.Queue].Advised {
+		return views
+	}
+	for i := range views {
+		if _, ok := s.advice.tickets[views[i].ID]; !ok {
+			views[i].Closed = true
+		}
+	}
+	return views
+}
--- /dev/null
+++ b/pkg/orchestrator/attempt.go
@@ -0,0 +1,199 @@
+package orchestrator
+
+import (
+	"time"
+)
+
+const (
+	// retryDelay separates a failed run from the next one of its task.
+	retryDelay = 50 * time.Millisecond
+	// refusalDelay is how long a target that had no room gets no new starts.
+	refusalDelay = 150 * time.Millisecond
+	// stopRetry is the time after which a stop is sent again.
+	stopRetry = 700 * time.Millisecond
+	// stuckFactor is the multiple of its estimate after which a run without
+	// progress is stopped and started elsewhere.
+	stuckFactor = 1.5
+	// stuckMin is the shortest time without progress that counts as stuck.
+	stuckMin = 1500 * time.Millisecond
+)
+
+// attach adds a run to its task and target.
+func (e *Engine) attach(a *attempt) {
+	a.task.attempts = append(a.task.attempts, a)
+	a.target.attempts[a.run] = a
+	reserved := a.task.step.step.Reserved()
+	a.target.used = a.target.used.Plus(reserved)
+	team := a.task.step.job.doc.Team
+	e.usage[team] = e.usage[team].Plus(a.task.step.step.Needs)
+}
+
+// detach removes a run from its task and target.
+func (e *Engine) detach(a *attempt) {
+	if a.target.attempts[a.run] != a {
+		return
+	}
+	delete(a.target.attempts, a.run)
+	a.target.used = a.target.used.Minus(a.task.step.step.Reserved())
+	team := a.task.step.job.doc.Team
+	e.usage[team] = e.usage[team].Minus(a.task.step.step.Needs)
+	kept := a.task.attempts[:0]
+	for _, other := range a.task.attempts {
+		if other != a {
+			kept = append(kept, other)
+		}
+	}
+	a.task.attempts = kept
+}
+
+// endAttempt takes a run away and makes its task start again if it has to.
+func (e *Engine) endAttempt(a *attempt, how Ending, checkpoint string, now time.Duration) {
+	e.detach(a)
+	t := a.task
+	if t.done {
+		return
+	}
+	if checkpoint != "" {
+		t.checkpoint = checkpoint
+	}
+	if how == EndFailed {
+		t.notBefore = now + retryDelay
+	}
+	if how != EndDone && !t.step.job.state.Ended() {
+		e.cfg.Logger.Info("task to start again", "task", t.id().String(), "run", a.run, "target", a.target.ID,
+			"how", how, "failures", t.failures, "checkpoint", t.checkpoint != "")
+	}
+}
+
+// stop orders the end of a run.
+func (e *Engine) stop(a *attempt, now time.Duration, reason string) {
+	if a.phase == phaseStopping {
+		return
+	}
+	e.cfg.Logger.Info("run stopped", "task", a.task.id().String(), "run", a.run, "target", a.target.ID, "reason", reason, "percent", a.percent)
+	a.phase = phaseStopping
+	e.sendStop(a, now)
+}
+
+func (e *Engine) sendStop(a *attempt, now time.Duration) {
+	a.stopSentAt = now
+	e.orders = append(e.orders, Order{
+		Kind:   KindStop,
+		Target: a.target.Endpoint,
+		Fence:  e.cfg.Fence,
+		Task:   a.task.id(),
+		Run:    a.run,
+	})
+}
+
+// resolveUncertain sends stops again, and stops runs whose start was not answered
+// and that no list shows. A target that answered a stop never starts that run.
+func (e *Engine) resolveUncertain(now time.Duration) {
+	for _, t := range e.targets {
+		if !t.contactable(now) {
+			continue
+		}
+		for _, a := range t.sortedAttempts() {
+			switch {
+			case a.phase == phaseUncertain && a.stopSentAt == 0 && t.listedAt > a.orderedAt+stopRetry:
+				e.stop(a, now, "start not answered")
+			case a.phase == phaseStopping && a.stoppedAt == 0 && now-a.stopSentAt > stopRetry:
+				e.sendStop(a, now)
+			}
+		}
+	}
+}
+
+// stopStuck stops runs that make no progress, so that they start elsewhere.
+func (e *Engine) stopStuck(now time.Duration) {
+	for _, t := range e.targets {
+		for _, a := range t.attempts {
+			step := a.task.step.step
+			if a.phase != phaseRunning || step.Filling || !t.contactable(now) {
+				continue
+			}
+			estimate := time.Duration(step.EstimateMS) * time.Millisecond
+			limit := max(stuckMin, time.Duration(stuckFactor*float64(estimate)))
+			still := now - a.progressAt
+			if step.Lasting {
+				if a.percent >= 100 {
+					continue
+				}
+				limit = max(limit, lastingStartLimit)
+			}
+			if still < limit || t.listedAt-a.progressAt < limit/2 {
+				continue
+			}
+			a.task.avoid = t.ID
+			e.blame(a.task, t, now)
+			e.stop(a, now, "no progress")
+		}
+	}
+}
+
+// lastingStartLimit is how long a lasting task may take to be at work.
+const lastingStartLimit = 4 * time.Second
+
+// Answered takes the answer to an order into account.
+func (e *Engine) Answered(answer Answer, now time.Duration) {
+	switch answer.Order.Kind {
+	case KindStart:
+		e.startAnswered(answer, now)
+	case KindStop:
+		e.stopAnswered(answer)
+	case KindPace:
+		e.paceAnswered(answer)
+	case KindMove, KindServe:
+		e.vmAnswered(answer, now)
+	}
+}
+
+func (e *Engine) startAnswered(answer Answer, now time.Duration) {
+	t := e.targets[answer.Order.Target.ID]
+	if t == nil {
+		return
+	}
+	t.sync(answer.ClockMS, answer.ReceivedAt)
+	a := t.attempts[answer.Order.Run]
+	if a == nil || a.task.id() != answer.Order.Task {
+		return
+	}
+	if answer.Outcome == OutcomeOK {
+		if a.phase == phaseOrdered || a.phase == phaseUncertain {
+			a.phase = phaseRunning
+			a.progressAt = now
+		}
+		if a.confirmedAt == 0 {
+			a.confirmedAt = now
+		}
+		return
+	}
+	e.stats.Rejected++
+	e.cfg.Logger.Info("start not carried out", "task", a.task.id().String(), "run", a.run, "target", t.ID, "outcome", answer.Outcome, "error", answer.Err)
+	if answer.Outcome == OutcomeUnknown {
+		if a.phase == phaseOrdered {
+			a.phase = phaseUncertain
+		}
+		return
+	}
+	t.closedUntil = now + refusalDelay
+	if answer.Outcome == OutcomeRefused || answer.Outcome == OutcomeReplaced {
+		t.closedUntil = now + failureCooldown
+	}
+	if answer.Outcome == OutcomeTicket {
+		a.task.step.advice.forget()
+	}
+	e.endAttempt(a, EndStopped, "", now)
+}
+
+func (e *Engine) stopAnswered(answer Answer) {
+	t := e.targets[answer.Order.Target.ID]
+	if t == nil {
+		return
+	}
+	t.sync(answer.ClockMS, answer.ReceivedAt)
+	a := t.attempts[answer.Order.Run]
+	if a != nil && answer.Outcome == OutcomeOK && a.stoppedAt == 0 {
+		a.stoppedAt = answer.ReceivedAt
+	}
+}
--- /dev/null
+++ b/pkg/orchestrator/demand.go
@@ -0,0 +1,140 @@
+package orchestrator
+
+import (
+	"sort"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+)
+
+// demand is what a pool is asked for.
+type demand struct {
+	waitingMillis int64 // thousandths of a core that tasks which could start ask for
+	comingMillis  int64 // the same for tasks of later steps of running jobs
+	busyMillis    int64 // reserved by what runs
+	capacity      int64 // of usable targets
+	waitingJobs   int   // accepted jobs of which no task has started
+	backlogMS     int64 // core-milliseconds of work that can still be on time
+	idleSince     time.Duration
+}
+
+// tokenBucket measures how much a team sends against what it may expect.
+type tokenBucket struct {
+	tokens float64
+	at     time.Duration
+}
+
+// burstSeconds is how many seconds of its rate a team may send at once: demand
+// comes in bursts of some seconds at several times the mean.
+const burstSeconds = 4.0
+
+// exceeds takes a job from the team's bucket and reports whether it was empty.
+func (e *Engine) exceeds(doc *jobkeeper.Job, now time.Duration) bool {
+	team, ok := e.conf.Teams[doc.Team]
+	if !ok || team.Weight <= 0 {
+		return false
+	}
+	b := e.intake[doc.Team]
+	if b == nil {
+		b = &tokenBucket{
+			tokens: team.Weight * burstSeconds,
+			at:     now,
+		}
+		e.intake[doc.Team] = b
+	}
+	b.tokens = min(team.Weight*burstSeconds, b.tokens+team.Weight*(now-b.at).Seconds())
+	b.at = now
+	if b.tokens < 1 {
+		return true
+	}
+	b.tokens--
+	return false
+}
+
+// measure computes the demand of each pool.
+func (e *Engine) measure(now time.Duration) {
+	for _, p := range e.pools {
+		idle := p.demand.idleSince
+		p.demand = demand{
+			idleSince: idle,
+		}
+		for _, t := range p.targets {
+			if !e.usable(t, now) {
+				continue
+			}
+			p.demand.capacity += t.Capacity.CPUMillis
+			p.demand.busyMillis += t.used.CPUMillis
+		}
+	}
+	for _, j := range e.jobs {
+		if j.state.Ended() || j.docRemoved {
+			continue
+		}
+		e.measureJob(j, now)
+	}
+}
+
+func (e *Engine) measureJob(j *job, now time.Duration) {
+	p := e.pool(e.poolOf(j))
+	if !j.started && !j.doc.Scheduled() {
+		p.demand.waitingJobs++
+	}
+	for _, o := range j.occurrences {
+		late := now > o.due+e.objective(j)
+		for _, s := range o.steps {
+			if s.done == len(s.tasks) || s.step.Filling {
+				continue
+			}
+			left := int64(len(s.tasks)-s.done) * s.step.Needs.CPUMillis
+			if !late && !s.step.Lasting {
+				p.demand.backlogMS += left * s.step.EstimateMS / 1000
+			}
+			if !s.ready() {
+				p.demand.comingMillis += left
+				continue
+			}
+			p.demand.waitingMillis += int64(len(s.waitingTasks(now))) * s.step.Needs.CPUMillis
+		}
+	}
+}
+
+// QueueState is what the owner tells the other daemons of a queue.
+type QueueState struct {
+	Queue   string        `cbor:"1,keyasint"`
+	Waiting int           `cbor:"2,keyasint,omitempty"` // accepted jobs without times of which no task has started
+	Wait    time.Duration `cbor:"3,keyasint,omitempty"` // expected wait of a new job for room
+}
+
+// QueueStates returns the state of each queue, by name.
+func (e *Engine) QueueStates(now time.Duration) []QueueState {
+	e.measure(now)
+	waiting := map[string]int{}
+	for _, j := range e.jobs {
+		if !j.started && !j.state.Ended() && !j.docRemoved && !j.doc.Scheduled() {
+			waiting[j.doc.Queue]++
+		}
+	}
+	states := make([]QueueState, 0, len(e.conf.Queues))
+	for _, name := range e.sortedQueues() {
+		q := e.conf.Queues[name]
+		p := e.pool(q.Pool)
+		state := QueueState{
+			Queue:   name,
+			Waiting: waiting[name],
+		}
+		if p.demand.capacity > 0 {
+			state.Wait = time.Duration(p.demand.backlogMS*1000/p.demand.capacity) * time.Millisecond
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
+func (e *Engine) sortedQueues() []string {
+	names := make([]string, 0, len(e.conf.Queues))
+	for name := range e.conf.Queues {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/pkg/orchestrator/job.go
@@ -0,0 +1,348 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// job is a job that was accepted and has not been forgotten yet.
+type job struct {
+	doc         *jobkeeper.Job
+	created     storer.Version // revision of its document
+	arrival     time.Duration  // when it was accepted, on the engine's clock
+	excess      bool           // beyond what its team may expect
+	cancelled   bool
+	state       jobkeeper.State
+	reason      string
+	started     bool
+	endedAt     time.Duration
+	endedMS     int64
+	finished    int // occurrences below this number are done
+	occurrences map[int]*occurrence
+	opened      int // occurrences below this number were opened
+	version     storer.Version
+	chainMS     int64
+	docRemoved  bool
+}
+
+// occurrence is one run of the steps of a job.
+type occurrence struct {
+	number int
+	due    time.Duration // on the engine's clock; the arrival for jobs that run once
+	steps  []*stepState
+	done   int // steps that are done
+}
+
+// stepState is a step of an occurrence.
+type stepState struct {
+	job        *job
+	occurrence *occurrence
+	index      int
+	step       *jobkeeper.Step
+	tasks      []*task
+	done       int
+	afterMS    int64 // estimated work from the start of this step to the end of the job
+	advice     advice
+}
+
+// task is a task of a step.
+type task struct {
+	step       *stepState
+	index      int
+	done       bool
+	failures   int
+	checkpoint string
+	attempts   []*attempt
+	notBefore  time.Duration // earliest next start
+	uncertain  bool          // may run on a target that was not listed yet
+	lastEnd    time.Duration
+	avoid      string // target on which the last run failed or stood still
+}
+
+// attempt is a run that was ordered, or found on a target.
+type attempt struct {
+	task        *task
+	run         uint64
+	target      *target
+	phase       phase
+	orderedAt   time.Duration
+	confirmedAt time.Duration // when the target said that it runs
+	stopSentAt  time.Duration
+	stoppedAt   time.Duration // when the target answered the stop
+	percent     int
+	progressAt  time.Duration // when percent last rose
+	pace        int
+	paceSent    int
+	paceSentAt  time.Duration
+	figure      float64
+	overSince   time.Duration // since when a serving task is over its target; zero if it isn't
+}
+
+// phase is where a run stands.
+type phase int
+
+const (
+	phaseOrdered   phase = iota // the start was sent
+	phaseRunning                // the target confirmed it
+	phaseUncertain              // the start was not answered
+	phaseStopping               // a stop was sent or is to be sent
+)
+
+func (t *task) id() jobkeeper.TaskID {
+	return jobkeeper.TaskID{
+		Job: t.step.job.doc.ID,
+		TaskKey: jobkeeper.TaskKey{
+			Occurrence: t.step.occurrence.number,
+			Step:       t.step.index,
+			Index:      t.index,
+		},
+	}
+}
+
+// waiting reports whether the task has to be started.
+func (t *task) waiting() bool {
+	return !t.done && len(t.attempts) == 0
+}
+
+// atWork reports whether a lasting task serves at its full share.
+func (t *task) atWork() bool {
+	for _, a := range t.attempts {
+		if a.phase == phaseRunning && a.percent >= 100 {
+			return true
+		}
+	}
+	return false
+}
+
+// ready reports whether all steps before this one are done.
+func (s *stepState) ready() bool {
+	for _, after := range s.step.After {
+		if s.occurrence.steps[after].done < len(s.occurrence.steps[after].tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// AddJob adds an accepted job. progress is nil if nothing was recorded of it.
+// nowMS is the Unix time.
+func (e *Engine) AddJob(doc *jobkeeper.Job, created storer.Version, progress *jobkeeper.Progress, version storer.Version, now time.Duration, nowMS int64) {
+	if e.jobs[doc.ID] != nil {
+		return
+	}
+	j := &job{
+		doc:         doc,
+		created:     created,
+		arrival:     now,
+		state:       jobkeeper.StateQueued,
+		occurrences: map[int]*occurrence{},
+		version:     version,
+		chainMS:     longestChain(doc),
+	}
+	if age := time.Duration(nowMS-doc.AcceptedMS) * time.Millisecond; age > 0 && age < maxJobAge {
+		j.arrival -= age
+	}
+	e.jobs[doc.ID] = j
+	if progress != nil && progress.State != jobkeeper.StateRefused {
+		j.state = progress.State
+		j.finished = progress.Finished
+		j.opened = progress.Finished
+		j.endedMS = progress.EndedMS
+	}
+	j.excess = e.exceeds(doc, now)
+	e.openOccurrences(now, nowMS)
+	if progress != nil {
+		e.applyNotes(j, progress.Notes, now, nowMS)
+	}
+	if created <= e.cfg.Fence && e.blocked {
+		j.markUncertain()
+	}
+	e.cfg.Logger.Info("job taken", "job", doc.ID, "queue", doc.Queue, "team", doc.Team, "state", j.state,
+		"age_ms", (now - j.arrival).Milliseconds(), "work_ms", doc.WorkMS(), "chain_ms", j.chainMS, "excess", j.excess)
+}
+
+// maxJobAge bounds the age that is taken from clocks of other daemons, which may jump.
+const maxJobAge = time.Minute
+
+// AddEnded adds a job of which only the recorded progress is left.
+func (e *Engine) AddEnded(id string, progress *jobkeeper.Progress, version storer.Version, now time.Duration) {
+	if e.jobs[id] != nil {
+		return
+	}
+	e.jobs[id] = &job{
+		doc: &jobkeeper.Job{
+			ID:    id,
+			Queue: progress.Queue,
+			Team:  progress.Team,
+		},
+		state:      progress.State,
+		endedMS:    progress.EndedMS,
+		endedAt:    now,
+		version:    version,
+		docRemoved: true,
+	}
+}
+
+// Cancel ends a job at the request of its caller.
+func (e *Engine) Cancel(id string, now time.Duration, nowMS int64) {
+	j := e.jobs[id]
+	if j == nil || j.state.Ended() {
+		return
+	}
+	j.cancelled = true
+	e.cfg.Logger.Info("job cancelled", "job", id, "state", j.state)
+	e.endJob(j, jobkeeper.StateCancelled, "cancelled by its caller", now, nowMS)
+}
+
+// Known reports whether the engine holds the job.
+func (e *Engine) Known(id string) bool { return e.jobs[id] != nil }
+
+// endJob records the end of a job and stops what still runs of it.
+func (e *Engine) endJob(j *job, state jobkeeper.State, reason string, now time.Duration, nowMS int64) {
+	j.state = state
+	j.reason = reason
+	j.endedAt = now
+	j.endedMS = nowMS
+	e.dirty[j.doc.ID] = true
+	e.cfg.Logger.Info("job ended", "job", j.doc.ID, "queue", j.doc.Queue, "state", state, "reason", reason,
+		"took_ms", (now - j.arrival).Milliseconds(), "objective_ms", e.objective(j).Milliseconds())
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				t.uncertain = false
+				for _, a := range t.attempts {
+					e.stop(a, now, string(state))
+				}
+			}
+		}
+	}
+}
+
+// openOccurrences creates the occurrences that are due and ends jobs that have none left.
+func (e *Engine) openOccurrences(now time.Duration, wallMS int64) {
+	for _, j := range e.jobs {
+		if j.state.Ended() || j.docRemoved {
+			continue
+		}
+		for j.opened < j.doc.Occurrences() && j.doc.DueMS(j.opened)-e.cfg.EarlyStart.Milliseconds()/2 <= wallMS {
+			j.open(now, wallMS)
+		}
+	}
+}
+
+// open creates the next occurrence.
+func (j *job) open(now time.Duration, wallMS int64) {
+	o := &occurrence{
+		number: j.opened,
+		due:    j.arrival,
+	}
+	if j.doc.Scheduled() {
+		o.due = now + time.Duration(j.doc.DueMS(j.opened)-wallMS)*time.Millisecond
+	}
+	after := remainingChains(j.doc)
+	for i := range j.doc.Steps {
+		s := &stepState{
+			job:        j,
+			occurrence: o,
+			index:      i,
+			step:       &j.doc.Steps[i],
+			afterMS:    after[i],
+		}
+		count := s.step.Count
+		for n := range count {
+			s.tasks = append(s.tasks, &task{
+				step:  s,
+				index: n,
+			})
+		}
+		o.steps = append(o.steps, s)
+	}
+	j.occurrences[j.opened] = o
+	j.opened++
+}
+
+// markUncertain notes that every task without a known end may be running on a
+// target whose lists were not read yet.
+func (j *job) markUncertain() {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				t.uncertain = t.waiting()
+			}
+		}
+	}
+}
+
+// applyNotes restores recorded ends.
+func (e *Engine) applyNotes(j *job, notes []jobkeeper.Note, now time.Duration, nowMS int64) {
+	for _, n := range notes {
+		t := j.task(jobkeeper.TaskKey{
+			Occurrence: n.Occurrence,
+			Step:       n.Step,
+			Index:      n.Index,
+		})
+		if t == nil {
+			continue
+		}
+		t.failures = max(t.failures, n.Failures)
+		if n.Done && !t.done {
+			e.markDone(t, now, nowMS)
+		}
+	}
+}
+
+// task returns the task with the key, or nil.
+func (j *job) task(key jobkeeper.TaskKey) *task {
+	o := j.occurrences[key.Occurrence]
+	if o == nil || key.Step >= len(o.steps) || key.Index >= len(o.steps[key.Step].tasks) {
+		return nil
+	}
+	return o.steps[key.Step].tasks[key.Index]
+}
+
+// remainingChains returns for each step the longest chain of estimates from its
+// start to the end of the job.
+func remainingChains(doc *jobkeeper.Job) []int64 {
+	after := make([]int64, len(doc.Steps))
+	for i := len(doc.Steps) - 1; i >= 0; i-- {
+		after[i] = max(after[i], 0) + doc.Steps[i].EstimateMS
+		for _, before := range doc.Steps[i].After {
+			after[before] = max(after[before], after[i])
+		}
+	}
+	return after
+}
+
+func longestChain(doc *jobkeeper.Job) int64 {
+	var longest int64
+	for _, ms := range remainingChains(doc) {
+		longest = max(longest, ms)
+	}
+	return longest
+}
+
+// objective returns the time within which a job should end.
+func (e *Engine) objective(j *job) time.Duration {
+	q := e.conf.Queues[j.doc.Queue]
+	stretch := max(1, q.StretchFactor)
+	return time.Duration(stretch*float64(j.chainMS))*time.Millisecond + q.TargetLatency
+}
+
+// poolOf returns the pool that runs the job: the queue's present pool, or the one
+// it had when the job was accepted if the queue is gone.
+func (e *Engine) poolOf(j *job) string {
+	if q, ok := e.conf.Queues[j.doc.Queue]; ok {
+		return q.Pool
+	}
+	return j.doc.Pool
+}
+
+// maxAttempts returns how many failed runs end a task's job.
+func (e *Engine) maxAttempts(j *job) int {
+	if q, ok := e.conf.Queues[j.doc.Queue]; ok && q.MaxAttempts > 0 {
+		return q.MaxAttempts
+	}
+	return 1
+}
--- /dev/null
+++ b/pkg/orchestrator/listing.go
@@ -0,0 +1,283 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+)
+
+// Listed takes the lists of a target into account. nowMS is the Unix time.
+func (e *Engine) Listed(l Listing, nowMS int64) {
+	t := e.targets[l.Plan.Target.ID]
+	if t == nil || l.SentAt < t.listedAt {
+		return
+	}
+	now := l.ReceivedAt
+	if l.Born != 0 && t.born != 0 && l.Born != t.born {
+		e.reborn(t, l.Born, now)
+	}
+	if l.Born != 0 {
+		t.born = l.Born
+	}
+	t.sync(l.ClockMS, now)
+	if t.failedAt != 0 {
+		e.cfg.Logger.Info("target regained", "target", t.ID, "pool", t.Pool, "running", len(l.Running))
+	}
+	t.failedAt = 0
+	t.answeredAt = now
+	t.listedAt = l.SentAt
+	first := !t.listed
+	t.listed = true
+	t.acked = max(t.acked, min(l.Plan.Acknowledged, t.recorded))
+	if first && len(l.Running) > 0 {
+		t.deadlineMS = max(t.deadlineMS, l.ClockMS+e.cfg.MaxHold.Milliseconds())
+	}
+	for _, end := range l.Ended {
+		e.ended(t, end, now, nowMS)
+	}
+	present := map[uint64]bool{}
+	for _, r := range l.Running {
+		present[r.Run] = true
+		e.running(t, r, now)
+	}
+	e.missing(t, present, l, now)
+}
+
+// running takes an entry of a list of running tasks into account.
+func (e *Engine) running(t *target, r Run, now time.Duration) {
+	a := t.attempts[r.Run]
+	if a == nil {
+		a = e.adopt(t, r, now)
+		if a == nil {
+			return
+		}
+	}
+	if a.phase == phaseOrdered || a.phase == phaseUncertain {
+		a.phase = phaseRunning
+		a.confirmedAt = now
+		a.progressAt = now
+	}
+	if r.Checkpoint != "" {
+		a.task.checkpoint = r.Checkpoint
+	}
+	if r.Percent != a.percent {
+		a.progressAt = now
+	}
+	a.percent = r.Percent
+	a.figure = r.Figure
+	e.observeSpeed(a, now)
+}
+
+// adopt takes over a run that this engine did not order, or stops it.
+func (e *Engine) adopt(t *target, r Run, now time.Duration) *attempt {
+	j := e.jobs[r.Task.Job]
+	var found *task
+	if j != nil && !j.state.Ended() {
+		found = j.task(r.Task.TaskKey)
+	}
+	switch {
+	case j == nil, found == nil, found.done, len(found.attempts) > 0 && !found.step.step.Speculative:
+		e.cfg.Logger.Warn("unexpected run stopped", "task", r.Task.String(), "run", r.Run, "target", t.ID, "job_known", j != nil)
+		e.orders = append(e.orders, Order{
+			Kind:   KindStop,
+			Target: t.Endpoint,
+			Fence:  e.cfg.Fence,
+			Task:   r.Task,
+			Run:    r.Run,
+		})
+		return nil
+	}
+	a := &attempt{
+		task:        found,
+		run:         r.Run,
+		target:      t,
+		phase:       phaseRunning,
+		orderedAt:   now,
+		confirmedAt: now,
+		progressAt:  now,
+		pace:        100,
+		paceSent:    100,
+	}
+	e.attach(a)
+	found.uncertain = false
+	j.started = true
+	e.cfg.Logger.Info("run adopted", "task", r.Task.String(), "run", r.Run, "target", t.ID, "percent", r.Percent)
+	return a
+}
+
+// missing ends runs that a list should name and does not.
+func (e *Engine) missing(t *target, present map[uint64]bool, l Listing, now time.Duration) {
+	for _, a := range t.sortedAttempts() {
+		if present[a.run] {
+			continue
+		}
+		confirmedBefore := a.confirmedAt > 0 && a.confirmedAt < l.SentAt
+		stoppedBefore := a.stoppedAt > 0 && a.stoppedAt < l.SentAt
+		if !confirmedBefore && !stoppedBefore {
+			continue
+		}
+		e.stats.Lost++
+		e.cfg.Logger.Info("run not listed", "task", a.task.id(), "run", a.run, "target", t.ID, "phase", int(a.phase), "stopped", stoppedBefore)
+		e.endAttempt(a, EndLapsed, "", now)
+	}
+}
+
+// ended takes an entry of a list of ended runs into account.
+func (e *Engine) ended(t *target, end End, now time.Duration, nowMS int64) {
+	if end.Number <= t.seen {
+		return
+	}
+	t.seen = end.Number
+	a := t.attempts[end.Run]
+	if a != nil && a.task.id() != end.Task {
+		a = nil
+	}
+	if a == nil {
+		e.endedElsewhere(t, end, now, nowMS)
+		return
+	}
+	e.cfg.Logger.Debug("run ended", "task", end.Task.String(), "run", end.Run, "target", t.ID, "how", end.How)
+	e.settle(a.task, t, end, now, nowMS)
+	e.endAttempt(a, end.How, end.Checkpoint, now)
+}
+
+// endedElsewhere takes the end of a run that this engine has not ordered, or has given up.
+func (e *Engine) endedElsewhere(t *target, end End, now time.Duration, nowMS int64) {
+	j := e.jobs[end.Task.Job]
+	if j == nil || j.state.Ended() {
+		return
+	}
+	found := j.task(end.Task.TaskKey)
+	if found == nil || found.done {
+		return
+	}
+	e.cfg.Logger.Info("end of an earlier run", "task", end.Task.String(), "run", end.Run, "target", t.ID, "how", end.How)
+	if end.Checkpoint != "" && len(found.attempts) == 0 {
+		found.checkpoint = end.Checkpoint
+	}
+	e.settle(found, t, end, now, nowMS)
+}
+
+// settle records what the end of a run means for its task and its job.
+func (e *Engine) settle(t *task, on *target, end End, now time.Duration, nowMS int64) {
+	j := t.step.job
+	e.dirty[j.doc.ID] = true
+	t.lastEnd = now
+	if j.state.Ended() {
+		return
+	}
+	lasting := t.step.step.Lasting
+	switch end.How {
+	case EndDone:
+		e.stats.Done++
+		if !lasting {
+			e.pool(on.Pool).ejector.Record(instant(now), on.ID, true)
+			e.finish(t, now, nowMS)
+		}
+	case EndFailed:
+		e.stats.Failed++
+		e.blame(t, on, now)
+		t.avoid = on.ID
+		if lasting {
+			return
+		}
+		t.failures++
+		if t.failures >= e.maxAttempts(j) {
+			e.endJob(j, jobkeeper.StateFailed, "task "+t.id().String()+" failed "+on.ID, now, nowMS)
+		}
+	case EndLapsed, EndBroken, EndAlone:
+		e.stats.Lapsed++
+	case EndStopped:
+		e.stats.Stopped++
+	}
+}
+
+// blame counts a failure against the target unless the job itself looks at fault.
+func (e *Engine) blame(t *task, on *target, now time.Duration) {
+	if t.failures > 0 || t.step.step.Lasting {
+		return
+	}
+	for _, other := range t.step.tasks {
+		if other != t && other.failures > 0 && other.avoid != on.ID {
+			return
+		}
+	}
+	if e.pool(on.Pool).ejector.Record(instant(now), on.ID, false) {
+		e.stats.Suspected++
+		e.cfg.Logger.Warn("target left out", "target", on.ID, "pool", on.Pool, "reason", "tasks fail", "task", t.id().String())
+	}
+}
+
+// finish marks a task as done, or all of a gang, and ends the job with its last task.
+func (e *Engine) finish(t *task, now time.Duration, nowMS int64) {
+	if !t.step.step.Gang {
+		e.markDone(t, now, nowMS)
+		return
+	}
+	for _, member := range t.step.tasks {
+		e.markDone(member, now, nowMS)
+	}
+}
+
+func (e *Engine) markDone(t *task, now time.Duration, nowMS int64) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.uncertain = false
+	for _, a := range t.attempts {
+		if a.phase == phaseRunning || a.phase == phaseOrdered || a.phase == phaseUncertain {
+			if !t.step.step.Gang {
+				e.stopCopies(a, now)
+			}
+		}
+	}
+	s, j := t.step, t.step.job
+	s.done++
+	if s.done < len(s.tasks) {
+		return
+	}
+	s.occurrence.done++
+	if s.occurrence.done < len(s.occurrence.steps) {
+		return
+	}
+	e.closeOccurrences(j, now, nowMS)
+}
+
+// stopCopies stops other runs of a task that is done; the run that ended is
+// detached right after and ignores its stop.
+func (e *Engine) stopCopies(a *attempt, now time.Duration) {
+	if len(a.task.attempts) > 1 {
+		e.stop(a, now, "another copy is done")
+	}
+}
+
+// closeOccurrences forgets occurrences that are done, in order.
+func (e *Engine) closeOccurrences(j *job, now time.Duration, nowMS int64) {
+	for {
+		o := j.occurrences[j.finished]
+		if o == nil || o.done < len(o.steps) {
+			break
+		}
+		delete(j.occurrences, j.finished)
+		j.finished++
+	}
+	if j.finished >= j.doc.Occurrences() && !j.state.Ended() {
+		e.endJob(j, jobkeeper.StateComplete, "all tasks done", now, nowMS)
+	}
+}
+
+// observeSpeed compares the progress of a run with its estimate.
+func (e *Engine) observeSpeed(a *attempt, now time.Duration) {
+	step := a.task.step.step
+	elapsed := now - a.confirmedAt
+	if step.Lasting || step.Filling || step.EstimateMS <= 0 || elapsed < speedSampleMin || a.percent >= 100 || a.task.checkpoint != "" {
+		return
+	}
+	expected := float64(elapsed.Milliseconds()) * 100 / float64(step.EstimateMS)
+	if step.Rack != "" && step.Rack != a.target.Rack {
+		expected /= max(1, e.cfg.RemoteFactor)
+	}
+	slowdown := max(1, min(8, expected/max(1, float64(a.percent))))
+	a.target.slowdown += speedMemory * (slowdown - a.target.slowdown)
+}
--- /dev/null
+++ b/pkg/orchestrator/move.go
@@ -0,0 +1,196 @@
+package orchestrator
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// moveInterval separates two rounds of moves.
+	moveInterval = 200 * time.Millisecond
+	// moveDelay is how long a target must be idle before it may move.
+	moveDelay = 300 * time.Millisecond
+	// parkDelay is how long a target must be idle before it goes to a spare pool.
+	parkDelay = 2500 * time.Millisecond
+	// maxMovesPerRound bounds the moves of one round.
+	maxMovesPerRound = 8
+	// comingShare is the part of the demand of later steps that is moved for: it
+	// comes when what runs now makes room.
+	comingShare = 0.3
+)
+
+// movePlan holds what rebalance remembers between rounds.
+type movePlan struct {
+	lastRound time.Duration
+	pending   map[string]int // VMs under way, by pool
+	idleSince map[string]time.Duration
+}
+
+// rebalance moves idle VMs to pools with more work than room, and to the spare pool.
+func (e *Engine) rebalance(now time.Duration) {
+	if now-e.moves.lastRound < moveInterval || now < e.cfg.AcquiredAt+e.cfg.DutyDelay || e.wave.listedAt == 0 {
+		return
+	}
+	e.moves.lastRound = now
+	e.measure(now)
+	e.noteIdle(now)
+	e.moves.pending = map[string]int{}
+	for id := range e.wave.busy {
+		if vm, ok := e.wave.vms[id]; ok {
+			e.moves.pending[vm.Pool]++
+		}
+	}
+	left := maxMovesPerRound
+	for _, name := range e.sortedPools() {
+		if !e.spare(name) {
+			left -= e.fill(e.pools[name], left, now)
+		}
+	}
+	e.park(left, now)
+}
+
+// noteIdle tracks since when targets are idle.
+func (e *Engine) noteIdle(now time.Duration) {
+	idle := map[string]time.Duration{}
+	for id, t := range e.targets {
+		if len(t.attempts) == 0 && t.registered {
+			idle[id] = now
+			if since, ok := e.moves.idleSince[id]; ok {
+				idle[id] = since
+			}
+		}
+	}
+	e.moves.idleSince = idle
+}
+
+// shortage returns how many more cores, in thousandths, a pool could use at once.
+func (p *pool) shortage() int64 {
+	wanted := p.demand.waitingMillis + int64(comingShare*float64(p.demand.comingMillis))
+	return wanted - (p.demand.capacity - p.demand.busyMillis)
+}
+
+// fill moves VMs to a pool that lacks room and returns how many.
+func (e *Engine) fill(p *pool, most int, now time.Duration) int {
+	moved := 0
+	lack := p.shortage()
+	for _, vm := range e.movable(p.name, now) {
+		size := e.wave.vms[vm].Capacity.CPUMillis
+		if moved >= most || size <= 0 || lack-int64(e.moves.pending[p.name])*size < size/4 {
+			break
+		}
+		e.move(vm, p.name, now)
+		e.moves.pending[p.name]++
+		moved++
+	}
+	return moved
+}
+
+// movable returns the VMs that could serve another pool now: those of spare pools
+// first, then idle ones of pools that have room to spare.
+func (e *Engine) movable(pool string, now time.Duration) []string {
+	var off, idle []string
+	for _, id := range sortedVMs(e.wave.vms) {
+		vm := e.wave.vms[id]
+		if vm.Pool == pool || vm.State != VMUp || now < e.wave.retryAt[id] || e.inWave(id) {
+			continue
+		}
+		if _, busy := e.wave.busy[id]; busy {
+			continue
+		}
+		if e.spare(vm.Pool) {
+			off = append(off, id)
+			continue
+		}
+		t := e.targetOn(id)
+		if t == nil || !e.usable(t, now) || len(t.attempts) > 0 || now-e.moves.idleSince[t.ID] < moveDelay {
+			continue
+		}
+		if e.pool(vm.Pool).shortage()+t.Capacity.CPUMillis <= 0 {
+			idle = append(idle, id)
+		}
+	}
+	return append(off, idle...)
+}
+
+// park moves VMs that were idle for long to a spare pool, where they cost nothing.
+func (e *Engine) park(most int, now time.Duration) {
+	to := ""
+	for _, name := range sortedPoolNames(e.conf.Pools) {
+		if e.spare(name) {
+			to = name
+		}
+	}
+	if to == "" {
+		return
+	}
+	for _, name := range e.sortedPools() {
+		p := e.pools[name]
+		if e.spare(name) || p.shortage() > 0 {
+			continue
+		}
+		for _, t := range p.targets {
+			since, idle := e.moves.idleSince[t.ID]
+			_, busy := e.wave.busy[t.VM]
+			if most <= 0 || !idle || busy || t.VM == "" || !e.usable(t, now) || now-since < parkDelay || e.inWave(t.VM) || now < e.wave.retryAt[t.VM] {
+				continue
+			}
+			if p.shortage()+t.Capacity.CPUMillis > 0 || len(p.targets) <= minPoolTargets {
+				break
+			}
+			p.demand.capacity -= t.Capacity.CPUMillis
+			e.move(t.VM, to, now)
+			most--
+		}
+	}
+}
+
+// minPoolTargets is the number of targets that a pool keeps, so that the first jobs
+// of a burst start at once.
+const minPoolTargets = 4
+
+func (e *Engine) move(vm, to string, now time.Duration) {
+	from := e.wave.vms[vm]
+	e.cfg.Logger.Info("VM moves", "vm", vm, "from", from.Pool, "to", to,
+		"shortage_millicores", e.pool(to).shortage(), "list_age_ms", (now - e.wave.listedAt).Milliseconds())
+	e.vmOrder(Order{
+		Kind: KindMove,
+		VM:   vm,
+		Pool: to,
+	}, now)
+}
+
+// inWave reports whether a VM still waits for its upkeep.
+func (e *Engine) inWave(vm string) bool {
+	for _, w := range e.wave.active {
+		if w.complete || w.done[vm] {
+			continue
+		}
+		for _, member := range w.VMs {
+			if member == vm {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// leaving reports whether the target's VM was ordered to move.
+func (e *Engine) leaving(t *target) bool { return t.removing }
+
+func (e *Engine) sortedPools() []string {
+	names := make([]string, 0, len(e.pools))
+	for name := range e.pools {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func sortedPoolNames(pools map[string]Pool) []string {
+	names := make([]string, 0, len(pools))
+	for name := range pools {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/pkg/orchestrator/progress.go
@@ -0,0 +1,259 @@
+package orchestrator
+
+import (
+	"sort"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// Change is a record of a job to be written.
+type Change struct {
+	Job      string
+	Version  storer.Version // of the progress record that it replaces; zero if there is none
+	Progress *jobkeeper.Progress
+	// RemoveDocument is set when the job has ended and only its state is kept.
+	RemoveDocument bool
+	Cancelled      bool
+	// Forget is set when the retention of an ended job has passed.
+	Forget bool
+}
+
+// Batch is what has to be in the store before the ends it covers are acknowledged.
+type Batch struct {
+	Changes []Change
+	Roster  []string // set if the list of used targets changed
+	seen    map[string]uint64
+	born    map[string]int64
+}
+
+// Empty reports whether there is nothing to write.
+func (b *Batch) Empty() bool {
+	return len(b.Changes) == 0 && b.Roster == nil
+}
+
+// TakeChanges returns what has to be written now. Recorded or Conflicted must
+// follow for each change before the next call.
+func (e *Engine) TakeChanges(now time.Duration) Batch {
+	b := Batch{
+		seen: map[string]uint64{},
+		born: map[string]int64{},
+	}
+	for id := range e.dirty {
+		if j := e.jobs[id]; j != nil {
+			b.Changes = append(b.Changes, j.change())
+		}
+	}
+	for _, j := range e.jobs {
+		if j.docRemoved && j.endedAt > 0 && now-j.endedAt > e.cfg.Retention {
+			b.Changes = append(b.Changes, Change{
+				Job:     j.doc.ID,
+				Version: j.version,
+				Forget:  true,
+			})
+		}
+	}
+	sort.Slice(b.Changes, func(i, k int) bool { return b.Changes[i].Job < b.Changes[k].Job })
+	e.dirty = map[string]bool{}
+	for id, t := range e.targets {
+		if t.seen > t.recorded {
+			b.seen[id] = t.seen
+			b.born[id] = t.born
+		}
+	}
+	b.Roster = e.roster.change(e.targets)
+	return b
+}
+
+func (j *job) change() Change {
+	return Change{
+		Job:            j.doc.ID,
+		Version:        j.version,
+		Progress:       j.progress(),
+		RemoveDocument: j.state.Ended() && !j.docRemoved,
+		Cancelled:      j.cancelled,
+	}
+}
+
+// progress returns the record of a job. Notes of ended jobs are of no more use.
+func (j *job) progress() *jobkeeper.Progress {
+	p := &jobkeeper.Progress{
+		State:    j.state,
+		Queue:    j.doc.Queue,
+		Team:     j.doc.Team,
+		EndedMS:  j.endedMS,
+		Reason:   j.reason,
+		Finished: j.finished,
+	}
+	if j.state.Ended() {
+		return p
+	}
+	for number := j.finished; number < j.opened; number++ {
+		o := j.occurrences[number]
+		if o == nil {
+			continue
+		}
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.done || t.failures > 0 {
+					p.Notes = append(p.Notes, jobkeeper.Note{
+						Occurrence: number,
+						Step:       s.index,
+						Index:      t.index,
+						Done:       t.done,
+						Failures:   t.failures,
+					})
+				}
+			}
+		}
+	}
+	return p
+}
+
+// Recorded notes that a change is in the store.
+func (e *Engine) Recorded(c Change, version storer.Version) {
+	j := e.jobs[c.Job]
+	if j == nil {
+		return
+	}
+	if c.Forget {
+		delete(e.jobs, c.Job)
+		return
+	}
+	j.version = version
+	if c.RemoveDocument {
+		j.docRemoved = true
+		j.occurrences = nil
+	}
+}
+
+// Conflicted notes that the record of a job has another version than expected, so
+// that the change has to be made again.
+func (e *Engine) Conflicted(c Change, version storer.Version) {
+	j := e.jobs[c.Job]
+	if j == nil {
+		return
+	}
+	e.cfg.Logger.Info("record changed meanwhile", "job", c.Job, "expected", uint64(c.Version), "found", uint64(version))
+	j.version = version
+	e.dirty[c.Job] = true
+}
+
+// Retry puts a change back that could not be written.
+func (e *Engine) Retry(c Change) {
+	if !c.Forget {
+		e.dirty[c.Job] = true
+	}
+}
+
+// Settled notes that all changes of a batch are in the store, so that the ends
+// that they cover may be acknowledged.
+func (e *Engine) Settled(b *Batch) {
+	for id, n := range b.seen {
+		if t := e.targets[id]; t != nil && t.born == b.born[id] {
+			t.recorded = max(t.recorded, n)
+		}
+	}
+	if b.Roster != nil {
+		e.roster.wrote(b.Roster)
+	}
+}
+
+// roster is the list of targets that may run something, as it is in the store. A
+// new owner reads it, because a target can be missing from the registry while it
+// still runs what the earlier owner ordered.
+type roster struct {
+	stored map[string]bool
+	left   map[string]bool // no longer known, to be removed from the store
+}
+
+func newRoster(ids []string) roster {
+	r := roster{
+		stored: map[string]bool{},
+		left:   map[string]bool{},
+	}
+	for _, id := range ids {
+		r.stored[id] = true
+	}
+	return r
+}
+
+func (r *roster) recorded(id string) bool { return r.stored[id] }
+
+func (r *roster) leave(id string) {
+	if r.stored[id] {
+		r.left[id] = true
+	}
+}
+
+// change returns the list to be written, or nil if the stored one covers all targets.
+func (r *roster) change(targets map[string]*target) []string {
+	changed := len(r.left) > 0
+	for id, t := range targets {
+		changed = changed || t.registered && !r.stored[id]
+	}
+	if !changed {
+		return nil
+	}
+	ids := []string{}
+	for id := range r.stored {
+		if !r.left[id] {
+			ids = append(ids, id)
+		}
+	}
+	for id, t := range targets {
+		if t.registered && !r.stored[id] {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (r *roster) wrote(ids []string) {
+	r.stored = map[string]bool{}
+	for _, id := range ids {
+		r.stored[id] = true
+		delete(r.left, id)
+	}
+	r.left = map[string]bool{}
+}
+
+// unblock lets tasks start again that could have been running on a target that
+// was not listed, once each target has answered or its leases have lapsed.
+func (e *Engine) unblock(now time.Duration) {
+	if !e.blocked {
+		return
+	}
+	lapsed := now > e.cfg.AcquiredAt+time.Duration(float64(e.cfg.MaxHold)*(1+clockDrift))+blockMargin
+	missing := e.unlisted()
+	if len(missing) > 0 && !lapsed {
+		return
+	}
+	e.blocked = false
+	e.cfg.Logger.Info("takeover complete", "after_ms", (now - e.cfg.AcquiredAt).Milliseconds(), "targets", len(e.targets), "not_listed", len(missing), "jobs", len(e.jobs))
+	for _, j := range e.jobs {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				for _, t := range s.tasks {
+					t.uncertain = false
+				}
+			}
+		}
+	}
+}
+
+// blockMargin covers the time between an order and its arrival at a target.
+const blockMargin = 500 * time.Millisecond
+
+// unlisted returns the targets of the roster and the registry that did not answer yet.
+func (e *Engine) unlisted() []string {
+	var ids []string
+	for id := range e.roster.stored {
+		if t := e.targets[id]; t == nil || !t.listed {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/pkg/orchestrator/schedule.go
@@ -0,0 +1,308 @@
+package orchestrator
+
+import (
+	"sort"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/packer"
+	"github.com/comfreyford/comfreyford/pkg/sequencer"
+)
+
+const (
+	// maxSlowdown is the slowdown above which a target gets no new tasks.
+	maxSlowdown = 2.5
+	// reserveSlack is the slack below which a waiting step that finds no room
+	// keeps less urgent work from taking what becomes free.
+	reserveSlack = 500 * time.Millisecond
+)
+
+// group is a step with tasks that could start now.
+type group struct {
+	step      *stepState
+	waiting   []*task
+	candidate sequencer.Candidate
+}
+
+// start orders the starts for which there is room, by pool.
+func (e *Engine) start(now time.Duration) {
+	for name, groups := range e.waitingGroups(now) {
+		p := e.pool(name)
+		sort.SliceStable(groups, func(i, j int) bool {
+			return sequencer.Compare(groups[i].candidate, groups[j].candidate) < 0
+		})
+		e.startGroups(p, groups, now)
+	}
+}
+
+// waitingGroups returns the steps with tasks that could start, by pool.
+func (e *Engine) waitingGroups(now time.Duration) map[string][]group {
+	groups := map[string][]group{}
+	for _, j := range e.sortedJobs() {
+		if j.state.Ended() || j.docRemoved {
+			continue
+		}
+		name := e.poolOf(j)
+		for number := j.finished; number < j.opened; number++ {
+			o := j.occurrences[number]
+			if o == nil {
+				continue
+			}
+			for _, s := range o.steps {
+				waiting := s.waitingTasks(now)
+				if len(waiting) == 0 || !s.ready() {
+					continue
+				}
+				groups[name] = append(groups[name], group{
+					step:      s,
+					waiting:   waiting,
+					candidate: e.candidate(s, now),
+				})
+			}
+		}
+	}
+	return groups
+}
+
+// sortedJobs returns the jobs in the order of their identities, so that equal
+// histories lead to equal decisions.
+func (e *Engine) sortedJobs() []*job {
+	jobs := make([]*job, 0, len(e.jobs))
+	for _, j := range e.jobs {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(i, k int) bool { return jobs[i].doc.ID < jobs[k].doc.ID })
+	return jobs
+}
+
+func (s *stepState) waitingTasks(now time.Duration) []*task {
+	if s.done == len(s.tasks) {
+		return nil
+	}
+	var waiting []*task
+	for _, t := range s.tasks {
+		if t.waiting() && !t.uncertain && now >= t.notBefore {
+			waiting = append(waiting, t)
+		}
+	}
+	return waiting
+}
+
+// candidate describes a step to the sequencer.
+func (e *Engine) candidate(s *stepState, now time.Duration) sequencer.Candidate {
+	j := s.job
+	due := s.occurrence.due + e.objective(j)
+	return sequencer.Candidate{
+		Lasting:  s.step.Lasting && !s.step.Filling,
+		Filling:  s.step.Filling,
+		Excess:   j.excess,
+		Started:  j.started,
+		Priority: e.conf.Queues[j.doc.Queue].Priority,
+		Slack:    due - now - time.Duration(s.afterMS)*time.Millisecond,
+		Arrival:  s.occurrence.due,
+	}
+}
+
+// startGroups places the waiting tasks of a pool in order.
+func (e *Engine) startGroups(p *pool, groups []group, now time.Duration) {
+	for _, g := range groups {
+		targets := e.approved(g.step, e.view(p, g.step, now))
+		if len(targets) == 0 {
+			return
+		}
+		if g.step.step.Gang {
+			e.startGang(p, g, targets, now)
+			continue
+		}
+		e.startTasks(p, g, targets, now)
+	}
+}
+
+// startTasks places the tasks of a step one by one.
+func (e *Engine) startTasks(p *pool, g group, views []packer.Target, now time.Duration) {
+	if !e.advised(g.step, p, now) {
+		return
+	}
+	for _, t := range g.waiting {
+		if !e.withinLimit(g.step.job.doc.Team, g.step.step.Needs) {
+			return
+		}
+		i := e.choose(g.step, t, views, now)
+		if i < 0 {
+			return
+		}
+		e.launch(t, p.targets[i], e.nextRun(), now)
+		place(&views[i], g.step.step)
+	}
+}
+
+// startGang places all tasks of a step or none.
+func (e *Engine) startGang(p *pool, g group, views []packer.Target, now time.Duration) {
+	step := g.step.step
+	if len(g.waiting) < len(g.step.tasks) || !e.advised(g.step, p, now) ||
+		!e.withinLimit(g.step.job.doc.Team, step.Needs.Times(int64(len(g.waiting)))) {
+		return
+	}
+	chosen := make([]int, 0, len(g.waiting))
+	rack := ""
+	for _, t := range g.waiting {
+		i := packer.Choose(e.request(g.step, rack), e.withoutAvoided(t, views))
+		if i < 0 {
+			return
+		}
+		if step.SameRack {
+			rack = views[i].Rack
+		}
+		place(&views[i], step)
+		chosen = append(chosen, i)
+	}
+	run := e.nextRun()
+	for n, t := range g.waiting {
+		e.launch(t, p.targets[chosen[n]], run, now)
+	}
+}
+
+func place(v *packer.Target, step *jobkeeper.Step) {
+	v.Used = v.Used.Plus(step.Reserved())
+	v.SameStep++
+	v.Idle = false
+	if step.Filling {
+		v.Filling++
+	}
+	if step.TailTargetMS > 0 {
+		v.Serving++
+	}
+}
+
+// choose picks a target for a task; it falls back on slow targets and on the one
+// that failed it when nothing else is left.
+func (e *Engine) choose(s *stepState, t *task, views []packer.Target, now time.Duration) int {
+	request := e.request(s, s.rack())
+	if i := packer.Choose(request, e.withoutAvoided(t, views)); i >= 0 {
+		return i
+	}
+	if now-t.lastEnd < failureCooldown {
+		return -1
+	}
+	if t.avoid == "" {
+		return -1
+	}
+	return packer.Choose(request, views)
+}
+
+func (e *Engine) withoutAvoided(t *task, views []packer.Target) []packer.Target {
+	if t.avoid == "" {
+		return views
+	}
+	kept := append([]packer.Target(nil), views...)
+	for i := range kept {
+		if kept[i].ID == t.avoid {
+			kept[i].Closed = true
+		}
+	}
+	return kept
+}
+
+func (e *Engine) request(s *stepState, rack string) packer.Request {
+	return packer.Request{
+		Step:         s.step,
+		RemoteFactor: e.cfg.RemoteFactor,
+		MaxSlowdown:  maxSlowdown,
+		Rack:         rack,
+	}
+}
+
+// rack returns the rack on which most running tasks of a same-rack step are.
+func (s *stepState) rack() string {
+	if !s.step.SameRack {
+		return ""
+	}
+	for _, t := range s.tasks {
+		for _, a := range t.attempts {
+			return a.target.Rack
+		}
+	}
+	return ""
+}
+
+// withinLimit reports whether the team may have that much more running.
+func (e *Engine) withinLimit(team string, needs jobkeeper.Resources) bool {
+	limit := e.conf.Teams[team].Limit
+	used := e.usage[team].Plus(needs)
+	if e.blocked {
+		used = used.Plus(e.uncertainUsage(team))
+	}
+	return within(used.CPUMillis, limit.CPUMillis) && within(used.MemoryMB, limit.MemoryMB) && within(used.GPUs, limit.GPUs)
+}
+
+func within(used, limit int64) bool {
+	return limit == 0 || used <= limit
+}
+
+// uncertainUsage returns what a team's tasks may use on targets that were not listed yet.
+func (e *Engine) uncertainUsage(team string) jobkeeper.Resources {
+	var sum jobkeeper.Resources
+	for _, j := range e.jobs {
+		if j.doc.Team != team || j.state.Ended() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				for _, t := range s.tasks {
+					if t.uncertain && s.ready() {
+						sum = sum.Plus(s.step.Needs)
+					}
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// launch orders the start of a task.
+func (e *Engine) launch(t *task, on *target, run uint64, now time.Duration) {
+	a := &attempt{
+		task:       t,
+		run:        run,
+		target:     on,
+		phase:      phaseOrdered,
+		orderedAt:  now,
+		progressAt: now,
+		pace:       100,
+		paceSent:   100,
+	}
+	e.attach(a)
+	j := t.step.job
+	if !j.started {
+		j.started = true
+		if j.state == jobkeeper.StateQueued {
+			j.state = jobkeeper.StateRunning
+			e.dirty[j.doc.ID] = true
+		}
+		e.cfg.Logger.Info("job started", "job", j.doc.ID, "queue", j.doc.Queue, "waited_ms", (now - t.step.occurrence.due).Milliseconds(), "target", on.ID)
+	}
+	e.stats.Starts++
+	deadline := on.clock(now) + e.cfg.Hold.Milliseconds()
+	on.deadlineMS = max(on.deadlineMS, deadline)
+	e.orders = append(e.orders, Order{
+		Kind:       KindStart,
+		Target:     on.Endpoint,
+		Fence:      e.cfg.Fence,
+		Task:       t.id(),
+		Run:        run,
+		Spec:       j.doc.Spec,
+		Checkpoint: t.checkpoint,
+		Ticket:     t.step.advice.tickets[on.ID],
+		DeadlineMS: deadline,
+	})
+	e.cfg.Logger.Debug("task started", "task", t.id().String(), "run", run, "target", on.ID, "waited_ms", (now - t.step.occurrence.due).Milliseconds())
+}
+
+// runBits is the width of the counter in a run number; the fence stands above it,
+// so that a later owner's numbers are higher without a record of the earlier ones.
+const runBits = 20
+
+func (e *Engine) nextRun() uint64 {
+	e.runs++
+	return uint64(e.cfg.Fence)<<runBits | e.runs
+}
--- /dev/null
+++ b/pkg/orchestrator/vm.go
@@ -0,0 +1,166 @@
+package orchestrator
+
+import (
+	"sort"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+)
+
+// VMState is the state of a VM in the platform's list.
+type VMState string
+
+// The states of a VM.
+const (
+	VMUp       VMState = "up"
+	VMMoving   VMState = "moving"
+	VMServiced VMState = "upkeep"
+	VMDown     VMState = "down"
+)
+
+// VM is an entry of the platform's list of VMs.
+type VM struct {
+	ID       string
+	Pool     string
+	State    VMState
+	Zone     string
+	Target   string // the target that runs on it
+	Rack     string
+	Capacity jobkeeper.Resources
+}
+
+// vmOrderTimeout is the time after which an unanswered order for a VM is given up.
+const vmOrderTimeout = 4 * time.Second
+
+// SetVMs replaces the list of VMs, which was asked for at the given time.
+func (e *Engine) SetVMs(vms []VM, askedAt time.Duration) {
+	if askedAt < e.wave.listedAt {
+		return
+	}
+	e.wave.listedAt = askedAt
+	e.wave.vms = map[string]VM{}
+	for _, vm := range vms {
+		e.wave.vms[vm.ID] = vm
+		if vm.Target != "" {
+			e.Assign(vm.Target, vm.ID)
+		}
+	}
+	for id, at := range e.wave.busy {
+		vm, ok := e.wave.vms[id]
+		if !ok || vm.State == VMUp && askedAt > at {
+			delete(e.wave.busy, id)
+		}
+	}
+}
+
+// targetOn returns the registered target on a VM, or nil.
+func (e *Engine) targetOn(vm string) *target {
+	for _, t := range e.targets {
+		if t.VM == vm && t.registered && !t.removing {
+			return t
+		}
+	}
+	return nil
+}
+
+// evacuate closes a target for new work and stops lasting tasks on it as far as
+// their budgets allow. It reports whether nothing runs there any more.
+func (e *Engine) evacuate(t *target, now time.Duration, reason string) bool {
+	t.evacuating = true
+	for _, a := range t.sortedAttempts() {
+		if a.phase == phaseStopping {
+			continue
+		}
+		if a.task.step.step.Lasting && e.mayInterrupt(a) && e.roomElsewhere(a, now) {
+			e.stop(a, now, reason)
+		}
+	}
+	return len(t.attempts) == 0
+}
+
+// mayInterrupt reports whether the budget of a task's step allows to stop it now.
+func (e *Engine) mayInterrupt(a *attempt) bool {
+	s := a.task.step
+	if !s.step.Protected {
+		return true
+	}
+	away := 0
+	for _, t := range s.tasks {
+		if t != a.task && !t.atWork() {
+			away++
+		}
+	}
+	return away < s.step.MayMiss
+}
+
+// roomElsewhere reports whether a lasting task could run on another target now.
+func (e *Engine) roomElsewhere(a *attempt, now time.Duration) bool {
+	s := a.task.step
+	p := e.pool(e.poolOf(s.job))
+	for i, v := range e.view(p, s, now) {
+		if p.targets[i] == a.target || v.Closed {
+			continue
+		}
+		free := v.Capacity.Minus(v.Used)
+		if s.step.Reserved().FitsIn(free) && (s.step.PerTarget == 0 || v.SameStep < s.step.PerTarget) {
+			return true
+		}
+	}
+	return false
+}
+
+// vmOrder appends an order for a VM and its target.
+func (e *Engine) vmOrder(o Order, now time.Duration) {
+	o.Fence = e.cfg.Fence
+	e.wave.busy[o.VM] = now
+	if t := e.targetOn(o.VM); t != nil {
+		t.removing = true
+		o.Target = t.Endpoint
+	}
+	e.orders = append(e.orders, o)
+}
+
+// vmAnswered takes the answer to a move or an upkeep into account.
+func (e *Engine) vmAnswered(answer Answer, now time.Duration) {
+	o := answer.Order
+	e.cfg.Logger.Info("order for VM answered", "kind", o.Kind, "vm", o.VM, "pool", o.Pool, "wave", o.Wave, "target", o.Target.ID, "outcome", answer.Outcome, "error", answer.Err)
+	t := e.targets[o.Target.ID]
+	switch answer.Outcome {
+	case OutcomeOK:
+		e.wave.busy[o.VM] = now
+		if t != nil {
+			e.loseAll(t, now, string(o.Kind))
+		}
+		if o.Kind == KindServe {
+			e.stats.Upkeeps++
+			e.wave.done(o.Wave, o.VM)
+			return
+		}
+		e.stats.Moves++
+	case OutcomeUnknown:
+		// The order may still be carried out: the target stays closed and the VM is
+		// looked at again when the list shows it.
+		e.wave.busy[o.VM] = now + vmOrderTimeout
+		e.wave.retryAt[o.VM] = now + vmOrderTimeout
+		if t != nil {
+			t.removing = false
+			t.closedUntil = now + vmOrderTimeout
+		}
+	default:
+		e.wave.retryAt[o.VM] = now + time.Second
+		delete(e.wave.busy, o.VM)
+		if t != nil {
+			t.removing = false
+		}
+	}
+}
+
+// sortedVMs returns the identifiers in order, so that equal states lead to equal decisions.
+func sortedVMs(vms map[string]VM) []string {
+	ids := make([]string, 0, len(vms))
+	for id := range vms {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
--- a/pkg/storer/memory.go
+++ b/pkg/storer/memory.go
@@ -18,6 +18,8 @@
 	lease   LeaseID
 	items   map[string]Item
 	leases  map[LeaseID]*lease
+	history []Event
+	horizon Version       // changes up to this version are no longer in history
 	changed chan struct{} // closed and replaced at each change
 }
 
@@ -84,12 +86,11 @@
 		return 0, Error.Wrap(ErrLeaseNotFound)
 	}
 	m.version++
-	m.items[w.Key] = Item{
-		Key:     w.Key,
-		Value:   bytes.Clone(w.Value),
-		Version: m.version,
-		Lease:   w.Lease,
-	}
+	m.put(Put{
+		Key:   w.Key,
+		Value: w.Value,
+		Lease: w.Lease,
+	})
 	m.notify()
 	return m.version, nil
 }
@@ -105,7 +106,8 @@
 	if m.items[key].Version != expected {
 		return Error.Wrap(ErrConflict)
 	}
-	delete(m.items, key)
+	m.version++
+	m.remove(key)
 	m.notify()
 	return nil
 }
@@ -209,9 +211,10 @@
 
 func (m *Memory) end(id LeaseID) {
 	delete(m.leases, id)
+	m.version++
 	for key, item := range m.items {
 		if item.Lease == id {
-			delete(m.items, key)
+			m.remove(key)
 		}
 	}
 	m.notify()
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -32,6 +32,8 @@
 	ErrTooLarge = errors.New("value too large")
 	// ErrLeaseNotFound means that the lease has expired or was revoked.
 	ErrLeaseNotFound = errors.New("lease not found")
+	// ErrHistoryLost means that changes since the requested revision are no longer available.
+	ErrHistoryLost = errors.New("history lost")
 )
 
 // Version identifies one write of a key. A later write has a greater version,
--- /dev/null
+++ b/pkg/storer/transaction.go
@@ -0,0 +1,102 @@
+package storer
+
+import (
+	"context"
+	"time"
+)
+
+// Condition requires that a key has a version; zero requires that the key is absent.
+type Condition struct {
+	Key     string
+	Version Version
+}
+
+// Put writes one key. The key is deleted when its lease ends; zero means no lease.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Transaction changes several keys at once or none. It holds at most
+// MaxTransactionEntries conditions, puts and removals in total.
+type Transaction struct {
+	Conditions []Condition
+	Puts       []Put
+	Removals   []string
+}
+
+// MaxTransactionEntries bounds a transaction; the limit is the platform's.
+const MaxTransactionEntries = 32
+
+// Entries returns the number of conditions, puts and removals.
+func (t Transaction) Entries() int {
+	return len(t.Conditions) + len(t.Puts) + len(t.Removals)
+}
+
+// ConflictError reports the present state of the keys whose conditions were
+// checked. An absent key has version zero. It matches ErrConflict.
+type ConflictError struct {
+	Items []Item
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string { return ErrConflict.Error() }
+
+// Unwrap makes errors.Is match ErrConflict.
+func (e *ConflictError) Unwrap() error { return ErrConflict }
+
+// Find returns the item with the given key; absent keys have version zero.
+func (e *ConflictError) Find(key string) Item {
+	for _, item := range e.Items {
+		if item.Key == key {
+			return item
+		}
+	}
+	return Item{
+		Key: key,
+	}
+}
+
+// Event is a change of a key: an item as it was written, or a deletion.
+type Event struct {
+	Item    Item
+	Deleted bool
+}
+
+// Changes are the changes under a prefix up to a revision of the store.
+type Changes struct {
+	Events   []Event
+	Revision Version
+}
+
+// Listing is the content of a prefix. Its pages are not a snapshot, so
+// watching continues from the revision of its first page.
+type Listing struct {
+	Items    []Item
+	Revision Version
+}
+
+// TransactionalStore is a key-value service with one revision for all keys.
+//
+// Every method may return ErrUnavailable: nothing was done. Commit may also
+// return ErrOutcomeUnknown: the change may take effect, even seconds later, for
+// as long as its conditions hold.
+type TransactionalStore interface {
+	// Read returns the newest item; an absent key has version zero.
+	Read(ctx context.Context, key string) (Item, error)
+	// Scan returns all items with the prefix.
+	Scan(ctx context.Context, prefix string) (Listing, error)
+	// Follow waits until a key with the prefix changes after the revision, at
+	// most for wait. ErrHistoryLost means that the caller has to scan again.
+	Follow(ctx context.Context, prefix string, after Version, wait time.Duration) (Changes, error)
+	// Commit applies the transaction and returns its revision. ErrConflict is a
+	// *ConflictError; ErrLeaseNotFound means that a lease of a put has ended.
+	Commit(ctx context.Context, t Transaction) (Version, error)
+	// GrantLease creates a lease and returns its time to live, which may differ.
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error)
+	// Renew extends a lease by its time to live; ErrLeaseNotFound when it has ended.
+	Renew(ctx context.Context, id LeaseID) error
+	// Revoke ends a lease and deletes its keys.
+	Revoke(ctx context.Context, id LeaseID) error
+}
