Read the lists of targets only after the jobs and the configuration

Cause: after a takeover the owner read the lists of targets while the jobs were still being read. Ends of tasks of jobs that it did not know yet were acknowledged and dropped, so the tasks ran again (TWICE), and failures were judged without the configuration's number of attempts (BUDGET). Ruled out: lost writes of records; the records were never written.

--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -102,7 +102,13 @@
 	if err := o.load(ctx); err != nil {
 		return err
 	}
-	o.spawn(func() { o.intake.run(ctx) })   //nolint:errcheck // ends with ctx
+	o.spawn(func() { o.intake.run(ctx) }) //nolint:errcheck // ends with ctx
+	// The lists of targets mean nothing before the jobs are known: an end of an
+	// unknown task would be acknowledged and forgotten.
+	select {
+	case <-ctx.Done():
+	case <-o.intake.loaded:
+	}
 	o.spawn(func() { o.registry.run(ctx) }) //nolint:errcheck // ends with ctx
 	o.spawn(func() { o.decide(ctx) })
 	o.spawn(func() { o.record(ctx) })
@@ -132,6 +138,9 @@
 // load reads what the earlier owner left in the store and creates the engine.
 func (o *owner) load(ctx context.Context) error {
 	startedAt := o.cfg.Clock()
+	if err := o.awaitConfiguration(ctx); err != nil {
+		return err
+	}
 	roster, err := o.readRoster(ctx)
 	if err != nil {
 		return err
@@ -181,6 +190,21 @@
 	dutyReserve = 300 * time.Millisecond
 )
 
+// awaitConfiguration waits until attempts and pools of the queues are known.
+func (o *owner) awaitConfiguration(ctx context.Context) error {
+	for {
+		conf, _, changed := o.settings.state()
+		if conf != nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
 // kick makes the next decision due.
 func (o *owner) kick() {
 	select {
