--- a/internal/manager/holder.go
+++ b/internal/manager/holder.go
@@ -21,7 +21,7 @@
 	// for without acknowledging them.
 	recordWait = 150 * time.Millisecond
 	// orderTimeout bounds an order to a target.
-	orderTimeout = 900 * time.Millisecond
+	orderTimeout = 600 * time.Millisecond
 	// ordersAtOnce bounds the orders under way at one target, and so its connections.
 	ordersAtOnce = 3
 	// orderQueueLimit is how long a start may wait for its turn before it is dropped
--- a/pkg/orchestrator/attempt.go
+++ b/pkg/orchestrator/attempt.go
@@ -174,6 +174,7 @@
 		if a.phase == phaseOrdered {
 			a.phase = phaseUncertain
 		}
+		t.closedUntil = now + failureCooldown
 		return
 	}
 	t.closedUntil = now + refusalDelay
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -106,10 +106,10 @@
 	return !t.done && len(t.attempts) == 0
 }
 
-// atWork reports whether a lasting task serves at its full share.
-func (t *task) atWork() bool {
+// atWork reports whether a lasting task is known to serve at its full share.
+func (t *task) atWork(now time.Duration) bool {
 	for _, a := range t.attempts {
-		if a.phase == phaseRunning && a.percent >= 100 {
+		if a.phase == phaseRunning && a.percent >= 100 && a.target.contactable(now) && !a.target.Draining {
 			return true
 		}
 	}
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -18,7 +18,8 @@
 	// contactTimeout is how old the last answer of a target may be for new starts;
 	// the wait of a hold and its timeout together.
 	contactTimeout = 2500 * time.Millisecond
-	// failureCooldown is how long a target that did not answer gets no new starts.
+	// failureCooldown is how long a target gets no new starts after it left one
+	// unanswered or refused it for a reason of its own.
 	failureCooldown = 400 * time.Millisecond
 	// speedMemory is the weight of the newest observation of a target's speed.
 	speedMemory = 0.3
@@ -186,7 +187,7 @@
 	switch {
 	case !t.registered, t.Draining, t.evacuating, t.removing:
 		return false
-	case !t.listed, t.failedAt != 0 && now-t.failedAt < failureCooldown, now < t.closedUntil:
+	case !t.listed, t.failedAt != 0, now < t.closedUntil:
 		return false
 	case !e.roster.recorded(t.ID):
 		return false
@@ -241,7 +242,9 @@
 	if t.recorded > t.acked && t.failedAt == 0 {
 		plan.Acknowledged = t.recorded
 	}
-	if t.listed && len(t.attempts) > 0 {
+	// A target that does not answer gets no longer lease, so that the time after which
+	// its tasks have certainly ended does not move on.
+	if t.listed && len(t.attempts) > 0 && t.failedAt == 0 {
 		plan.DeadlineMS = t.clock(now) + e.cfg.Hold.Milliseconds()
 	}
 	return plan, true
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -71,7 +71,7 @@
 		if a.phase == phaseStopping {
 			continue
 		}
-		if a.task.step.step.Lasting && e.mayInterrupt(a) && e.roomElsewhere(a, now) {
+		if a.task.step.step.Lasting && e.mayInterrupt(a, now) && e.roomElsewhere(a, now) {
 			e.stop(a, now, reason)
 		}
 	}
@@ -79,14 +79,14 @@
 }
 
 // mayInterrupt reports whether the budget of a task's step allows to stop it now.
-func (e *Engine) mayInterrupt(a *attempt) bool {
+func (e *Engine) mayInterrupt(a *attempt, now time.Duration) bool {
 	s := a.task.step
 	if !s.step.Protected {
 		return true
 	}
 	away := 0
 	for _, t := range s.tasks {
-		if t != a.task && !t.atWork() {
+		if t != a.task && !t.atWork(now) {
 			away++
 		}
 	}
