Take the list of VMs as proof that a target has ended

Cause: after a takeover every target that the earlier owner had used and that did not answer blocked the start of older tasks for the longest lease (6 to 10 s), also those whose VMs had moved or crashed; after a crash, tasks waited for the end of a lease that nobody held.

--- a/internal/manager/intake.go
+++ b/internal/manager/intake.go
@@ -164,17 +164,11 @@
 		}
 		if err == nil {
 			o.mu.Lock()
-			o.engine.SetVMs(vms, askedAt)
+			o.engine.SetVMs(vms, askedAt, o.cfg.Clock())
 			o.mu.Unlock()
 			o.kick()
 		}
-		o.mu.Lock()
-		pause := vmPauseIdle
-		if o.engine.Maintaining() {
-			pause = vmPause
-		}
-		o.mu.Unlock()
-		if !sleeper.Sleep(ctx, pause) {
+		if !sleeper.Sleep(ctx, vmPause) {
 			return
 		}
 	}
@@ -183,10 +177,8 @@
 const (
 	// vmTimeout bounds a call to the platform's service for VMs.
 	vmTimeout = 2 * time.Second
-	// vmPause and vmPauseIdle separate two readings of the list of VMs while VMs are
-	// under way, and otherwise.
-	vmPause     = 400 * time.Millisecond
-	vmPauseIdle = 2 * time.Second
+	// vmPause separates two readings of the list of VMs, which shows a lost VM at once.
+	vmPause = 400 * time.Millisecond
 )
 
 // waveKey is where the owners keep the state of a wave.
--- a/pkg/orchestrator/progress.go
+++ b/pkg/orchestrator/progress.go
@@ -232,6 +232,7 @@
 		return
 	}
 	e.blocked = false
+	e.forgetRoster()
 	e.cfg.Logger.Info("takeover complete", "after_ms", (now - e.cfg.AcquiredAt).Milliseconds(), "targets", len(e.targets), "not_listed", len(missing), "jobs", len(e.jobs))
 	for _, j := range e.jobs {
 		for _, o := range j.occurrences {
@@ -247,13 +248,27 @@
 // blockMargin covers the time between an order and its arrival at a target.
 const blockMargin = 500 * time.Millisecond
 
-// unlisted returns the targets of the roster and the registry that did not answer yet.
+// unlisted returns the targets of the roster that did not answer yet and that may
+// live: the list of VMs, if it was read by this owner, names all that do.
 func (e *Engine) unlisted() []string {
 	var ids []string
+	living := e.wave.living()
 	for id := range e.roster.stored {
+		if e.wave.listedAt > e.cfg.AcquiredAt && !living[id] {
+			continue
+		}
 		if t := e.targets[id]; t == nil || !t.listed {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
+
+// forgetRoster drops the targets of earlier owners that are gone.
+func (e *Engine) forgetRoster() {
+	for id := range e.roster.stored {
+		if e.targets[id] == nil {
+			e.roster.leave(id)
+		}
+	}
+}
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -49,6 +49,7 @@
 	closedUntil time.Duration // refused for want of room or by a failing target
 	evacuating  bool          // its VM is about to move or to be maintained
 	removing    bool          // its VM was ordered to move or to be maintained
+	dead        bool          // it no longer lives on its VM
 }
 
 // contactable reports whether the target answered lately.
@@ -132,6 +133,7 @@
 	t.listed = false
 	t.slowdown = 1
 	t.removing = false
+	t.dead = false
 }
 
 // loseAll ends all runs of a target that has certainly stopped running them.
@@ -154,7 +156,7 @@
 		if lapsed && len(t.attempts) > 0 {
 			e.loseAll(t, now, "lease lapsed without contact")
 		}
-		if !t.registered && len(t.attempts) == 0 && (lapsed || t.deadlineMS == 0) {
+		if !t.registered && len(t.attempts) == 0 && (lapsed || t.dead || t.deadlineMS == 0) {
 			delete(e.targets, id)
 			e.roster.leave(id)
 		}
@@ -185,7 +187,7 @@
 // usable reports whether the target may get new work.
 func (e *Engine) usable(t *target, now time.Duration) bool {
 	switch {
-	case !t.registered, t.Draining, t.evacuating, t.removing:
+	case !t.registered, t.Draining, t.evacuating, t.removing, t.dead:
 		return false
 	case !t.listed, t.failedAt != 0, now < t.closedUntil:
 		return false
@@ -237,7 +239,7 @@
 	plan := HoldPlan{
 		Target: t.Endpoint,
 		Fence:  e.cfg.Fence,
-		Idle:   t.listed && len(t.attempts) == 0 && t.acked >= t.seen && (t.failedAt == 0 || !t.registered),
+		Idle:   t.dead || t.listed && len(t.attempts) == 0 && t.acked >= t.seen && (t.failedAt == 0 || !t.registered),
 	}
 	if t.recorded > t.acked && t.failedAt == 0 {
 		plan.Acknowledged = t.recorded
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -32,19 +32,26 @@
 // vmOrderTimeout is the time after which an unanswered order for a VM is given up.
 const vmOrderTimeout = 4 * time.Second
 
-// SetVMs replaces the list of VMs, which was asked for at the given time.
-func (e *Engine) SetVMs(vms []VM, askedAt time.Duration) {
+// SetVMs replaces the list of VMs, which was asked for at the given time. The list
+// names the target that lives on each VM, so it also tells which targets have ended:
+// nothing that they ran goes on.
+func (e *Engine) SetVMs(vms []VM, askedAt, now time.Duration) {
 	if askedAt < e.wave.listedAt {
 		return
 	}
 	e.wave.listedAt = askedAt
+	before := e.wave.vms
 	e.wave.vms = map[string]VM{}
 	for _, vm := range vms {
+		if old, ok := before[vm.ID]; ok && (old.State != vm.State || old.Target != vm.Target) {
+			e.cfg.Logger.Info("VM changed", "vm", vm.ID, "pool", vm.Pool, "state_before", old.State, "state", vm.State, "target_before", old.Target, "target", vm.Target)
+		}
 		e.wave.vms[vm.ID] = vm
 		if vm.Target != "" {
 			e.Assign(vm.Target, vm.ID)
 		}
 	}
+	e.noteDead(now)
 	for id, at := range e.wave.busy {
 		vm, ok := e.wave.vms[id]
 		if !ok || vm.State == VMUp && askedAt > at {
@@ -53,6 +60,33 @@
 	}
 }
 
+// noteDead ends the runs on targets that no longer live on their VMs.
+func (e *Engine) noteDead(now time.Duration) {
+	living := e.wave.living()
+	for id, t := range e.targets {
+		if t.VM == "" || living[id] {
+			t.dead = false
+			continue
+		}
+		if !t.dead {
+			t.dead = true
+			e.cfg.Logger.Info("target ended", "target", id, "pool", t.Pool, "vm", t.VM, "vm_state", e.wave.vms[t.VM].State, "running", len(t.attempts))
+		}
+		e.loseAll(t, now, "VM ended the target")
+	}
+}
+
+// living returns the targets that live on a VM.
+func (w *waves) living() map[string]bool {
+	living := map[string]bool{}
+	for _, vm := range w.vms {
+		if vm.Target != "" {
+			living[vm.Target] = true
+		}
+	}
+	return living
+}
+
 // targetOn returns the registered target on a VM, or nil.
 func (e *Engine) targetOn(vm string) *target {
 	for _, t := range e.targets {
@@ -129,6 +163,7 @@
 	case OutcomeOK:
 		e.wave.busy[o.VM] = now
 		if t != nil {
+			t.dead = true
 			e.loseAll(t, now, string(o.Kind))
 		}
 		if o.Kind == KindServe {
--- a/pkg/orchestrator/wave.go
+++ b/pkg/orchestrator/wave.go
@@ -83,16 +83,6 @@
 	delete(e.wave.active, number)
 }
 
-// Maintaining reports whether VMs have to be watched.
-func (e *Engine) Maintaining() bool {
-	for _, w := range e.wave.active {
-		if !w.complete {
-			return true
-		}
-	}
-	return len(e.wave.busy) > 0
-}
-
 // TakeWaves returns the waves whose state has to be recorded.
 func (e *Engine) TakeWaves() []WaveState {
 	var states []WaveState
