--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -156,7 +156,9 @@
 		if lapsed && len(t.attempts) > 0 {
 			e.loseAll(t, now, "lease lapsed without contact")
 		}
-		if !t.registered && len(t.attempts) == 0 && (lapsed || t.dead || t.deadlineMS == 0) {
+		// A target that this owner never reached may run what an earlier owner ordered.
+		unused := t.deadlineMS == 0 && (t.listed || !e.blocked)
+		if !t.registered && len(t.attempts) == 0 && (lapsed || t.dead || unused) {
 			delete(e.targets, id)
 			e.roster.leave(id)
 		}
