Count a failed run once, and test the owner's state against faults

Cause: failures were stored as a count. Runs are now recorded by number. Ruled out: the attempts of the configuration; the same run appears in the logs of two owners. A daemon that lost its ownership in an outage ends its old lease once the store is back, so that the next owner need not wait for it.

Tests: a world of targets in virtual time checks from outside that nothing runs twice, after its acknowledged end, over a capacity or a limit, under random faults.

--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -49,7 +49,8 @@
 
 // Elector competes for one resource.
 type Elector struct {
-	cfg Config
+	cfg       Config
+	abandoned storer.LeaseID // lease of the last ownership of this daemon
 }
 
 // New returns an Elector.
@@ -77,6 +78,12 @@
 			sleeper.Sleep(ctx, retryDelay+jitter())
 			continue
 		}
+		if owner.Version != 0 && owner.Lease == e.abandoned {
+			// The store kept the lease through an outage that this daemon did not survive
+			// as the owner.
+			e.revoke(ctx, owner.Lease)
+			continue
+		}
 		if owner.Version != 0 {
 			e.awaitVacancy(ctx, revision)
 			continue
@@ -172,6 +179,7 @@
 	stop()
 	<-done
 	e.cfg.Logger.Warn("ownership ended", "key", e.cfg.Key, "fence", uint64(fence), "reason", reason)
+	e.abandoned = lease
 	e.revoke(context.WithoutCancel(ctx), lease)
 }
 
--- a/pkg/jobkeeper/progress.go
+++ b/pkg/jobkeeper/progress.go
@@ -73,7 +73,9 @@
 	Step       int  `cbor:"2,keyasint,omitempty"`
 	Index      int  `cbor:"3,keyasint,omitempty"`
 	Done       bool `cbor:"4,keyasint,omitempty"`
-	Failures   int  `cbor:"5,keyasint,omitempty"` // runs that ended as failed
+	// FailedRuns are the numbers of the runs that failed. A target lists an end again
+	// until it is acknowledged, also to a later owner, so a count would not do.
+	FailedRuns []uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Progress is the recorded progress of a job. Tasks without a note have neither
--- a/pkg/orchestrator/attempt.go
+++ b/pkg/orchestrator/attempt.go
@@ -61,7 +61,7 @@
 	}
 	if how != EndDone && !t.step.job.state.Ended() {
 		e.cfg.Logger.Info("task to start again", "task", t.id().String(), "run", a.run, "target", a.target.ID,
-			"how", how, "failures", t.failures, "checkpoint", t.checkpoint != "")
+			"how", how, "failures", len(t.failedRuns), "checkpoint", t.checkpoint != "")
 	}
 }
 
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
@@ -52,7 +53,7 @@
 	step       *stepState
 	index      int
 	done       bool
-	failures   int
+	failedRuns []uint64
 	checkpoint string
 	attempts   []*attempt
 	notBefore  time.Duration // earliest next start
@@ -101,6 +102,15 @@
 	}
 }
 
+// fail notes that a run failed. It returns false if that was known.
+func (t *task) fail(run uint64) bool {
+	if slices.Contains(t.failedRuns, run) {
+		return false
+	}
+	t.failedRuns = append(t.failedRuns, run)
+	return true
+}
+
 // waiting reports whether the task has to be started.
 func (t *task) waiting() bool {
 	return !t.done && len(t.attempts) == 0
@@ -286,7 +296,9 @@
 		if t == nil {
 			continue
 		}
-		t.failures = max(t.failures, n.Failures)
+		for _, run := range n.FailedRuns {
+			t.fail(run)
+		}
 		if n.Done && !t.done {
 			e.markDone(t, now, nowMS)
 		}
--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -176,13 +176,12 @@
 		}
 	case EndFailed:
 		e.stats.Failed++
-		e.blame(t, on, now)
 		t.avoid = on.ID
-		if lasting {
+		if lasting || !t.fail(end.Run) {
 			return
 		}
-		t.failures++
-		if t.failures >= e.maxAttempts(j) {
+		e.blame(t, on, now)
+		if len(t.failedRuns) >= e.maxAttempts(j) {
 			e.endJob(j, jobkeeper.StateFailed, "task "+t.id().String()+" failed "+on.ID, now, nowMS)
 		}
 	case EndLapsed, EndBroken, EndAlone:
@@ -194,11 +193,11 @@
 
 // blame counts a failure against the target unless the job itself looks at fault.
 func (e *Engine) blame(t *task, on *target, now time.Duration) {
-	if t.failures > 0 || t.step.step.Lasting {
+	if len(t.failedRuns) > 1 || t.step.step.Lasting {
 		return
 	}
 	for _, other := range t.step.tasks {
-		if other != t && other.failures > 0 && other.avoid != on.ID {
+		if other != t && len(other.failedRuns) > 0 && other.avoid != on.ID {
 			return
 		}
 	}
--- /dev/null
+++ b/pkg/orchestrator/orchestrator_test.go
@@ -0,0 +1,274 @@
+package orchestrator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/orchestrator"
+)
+
+func newDesk(t testing.TB, targets int) *world {
+	t.Helper()
+	w := newWorld(t, testConfiguration())
+	for i := range targets {
+		w.addTarget(fmt.Sprintf("t%d", i), "desk", cores(8))
+	}
+	w.takeOver()
+	w.run(300 * time.Millisecond)
+	return w
+}
+
+func TestJobRunsItsStepsInOrderAndCompletes(t *testing.T) {
+	w := newDesk(t, 3)
+	w.submit(testJob("a", "schools", 300, 4, 2))
+	if !w.runUntil(3*time.Second, func() bool { return w.state("a") == jobkeeper.StateComplete }) {
+		t.Errorf("state is %s, want complete", w.state("a"))
+	}
+	w.verify()
+}
+
+// A target that does not answer must not get longer leases, or the time after
+// which its tasks have certainly ended never comes.
+func TestTasksOfAnUnreachableTargetStartElsewhereWhenItsLeaseHasLapsed(t *testing.T) {
+	w := newDesk(t, 3)
+	w.noVMs = true
+	w.submit(lastingJob("a", 1, 0))
+	w.run(500 * time.Millisecond)
+	first := w.runningOn("a.0.0.0")
+	w.targets[first].reachable = false
+	if !w.runUntil(worldHold+time.Second, func() bool { return w.runningOn("a.0.0.0") != "" && w.runningOn("a.0.0.0") != first }) {
+		t.Errorf("the task is on %q, want another target than %q", w.runningOn("a.0.0.0"), first)
+	}
+	w.verify()
+}
+
+func TestTasksOfACrashedTargetStartElsewhereAtOnce(t *testing.T) {
+	w := newDesk(t, 3)
+	w.submit(lastingJob("a", 1, 0))
+	w.run(500 * time.Millisecond)
+	first := w.runningOn("a.0.0.0")
+	w.crash(w.targets[first])
+	if !w.runUntil(500*time.Millisecond, func() bool { return w.runningOn("a.0.0.0") != "" }) {
+		t.Error("the task does not run 500 ms after the list of VMs showed the crash")
+	}
+	w.verify()
+}
+
+func TestTakeoverStartsNothingThatAnUnreachableTargetRuns(t *testing.T) {
+	for _, registered := range []bool{true, false} {
+		t.Run(fmt.Sprintf("registered %v", registered), func(t *testing.T) {
+			w := newDesk(t, 3)
+			w.submit(lastingJob("a", 1, 0))
+			w.run(500 * time.Millisecond)
+			first := w.targets[w.runningOn("a.0.0.0")]
+			first.reachable = false
+			w.takeOver()
+			w.run(200 * time.Millisecond)
+			first.registered = registered
+			if !registered {
+				w.engine.Unregister(first.ID, w.now)
+			}
+			w.run(2 * worldLimit)
+			if got := w.runningOn("a.0.0.0"); got == "" || got == first.ID {
+				t.Errorf("the task runs on %q after the longest lease, want another target than %q", got, first.ID)
+			}
+			w.verify()
+		})
+	}
+}
+
+func TestTakeoverDoesNotWaitForTargetsThatHaveEnded(t *testing.T) {
+	w := newDesk(t, 3)
+	w.submit(testJob("a", "schools", 2000, 3))
+	w.run(500 * time.Millisecond)
+	first := w.runningOn("a.0.0.0")
+	w.crash(w.targets[first])
+	w.targets[first].registered = false
+	w.takeOver()
+	if !w.runUntil(700*time.Millisecond, func() bool { return w.runningOn("a.0.0.0") != "" }) {
+		t.Error("a task of a crashed target does not run 700 ms after a takeover")
+	}
+	w.verify()
+}
+
+// A target lists an end until it is acknowledged, also to the next owner.
+func TestFailedRunCountsOnceAcrossTakeovers(t *testing.T) {
+	w := newDesk(t, 1)
+	w.submit(testJob("a", "schools", 400, 1))
+	w.run(100 * time.Millisecond)
+	w.targets["t0"].failing = true
+	w.runUntil(time.Second, func() bool { return w.targets["t0"].number == 1 })
+	w.targets["t0"].failing = false
+	for range 6 {
+		w.record()
+		w.takeOver()
+		w.list()
+	}
+	if !w.runUntil(5*time.Second, func() bool { return w.state("a").Ended() }) || w.state("a") != jobkeeper.StateComplete {
+		t.Errorf("state is %s, want complete: the task failed once of 4 times allowed", w.state("a"))
+	}
+	w.verify()
+}
+
+func TestTaskThatAlwaysFailsEndsItsJobAfterItsAttempts(t *testing.T) {
+	w := newDesk(t, 3)
+	for _, f := range w.targets {
+		f.failing = true
+	}
+	w.submit(testJob("a", "schools", 400, 1))
+	w.runUntil(10*time.Second, func() bool { return w.state("a").Ended() })
+	if w.state("a") != jobkeeper.StateFailed || w.starts["a.0.0.0"] != 4 {
+		t.Errorf("state is %s after %d starts, want failed after 4", w.state("a"), w.starts["a.0.0.0"])
+	}
+	w.verify()
+}
+
+func TestUpkeepKeepsTheBudgetOfLastingTasksWhileOneIsUnreachable(t *testing.T) {
+	w := newDesk(t, 6)
+	w.noVMs = false
+	w.submit(lastingJob("a", 3, 1))
+	w.run(time.Second)
+	unreachable := w.runningOn("a.0.0.0")
+	w.targets[unreachable].reachable = false
+	var vms []string
+	for id, f := range w.targets {
+		if id != unreachable {
+			vms = append(vms, f.VM)
+		}
+	}
+	w.engine.AddWave(orchestrator.Wave{
+		Number:   1,
+		VMs:      vms,
+		Duration: 20 * time.Second,
+		Most:     5,
+	}, nil, w.now)
+	w.run(time.Second)
+	for _, task := range []string{"a.0.0.1", "a.0.0.2"} {
+		if w.runningOn(task) == "" || w.starts[task] != 1 {
+			t.Errorf("%s was interrupted although another task of its step was unreachable", task)
+		}
+	}
+	w.verify()
+}
+
+func TestWaveMaintainsEveryVMOnceAndKeepsItsLimit(t *testing.T) {
+	w := newDesk(t, 6)
+	w.submit(lastingJob("a", 3, 1))
+	w.run(time.Second)
+	born := map[string]int64{}
+	var vms []string
+	for id, f := range w.targets {
+		vms = append(vms, f.VM)
+		born[id] = f.Born
+	}
+	w.engine.AddWave(orchestrator.Wave{
+		Number:   1,
+		VMs:      vms,
+		Duration: 20 * time.Second,
+		Most:     2,
+	}, nil, w.now)
+	complete := false
+	w.runUntil(20*time.Second, func() bool {
+		for _, s := range w.engine.TakeWaves() {
+			complete = complete || s.Complete
+		}
+		return complete
+	})
+	if !complete {
+		t.Error("the wave is not complete after its time")
+	}
+	for id, f := range w.targets {
+		if f.Born != born[id]+1 {
+			t.Errorf("%s was maintained %d times, want once", id, f.Born-born[id])
+		}
+	}
+	w.verify()
+}
+
+func TestCancelledJobStopsAndStartsNoMore(t *testing.T) {
+	w := newDesk(t, 1)
+	w.submit(testJob("a", "schools", 1000, 8))
+	w.run(200 * time.Millisecond)
+	w.cancel("a")
+	before := len(w.starts)
+	w.run(time.Second)
+	if got := len(w.targets["t0"].runs); got != 0 {
+		t.Errorf("%d tasks run a second after the cancellation", got)
+	}
+	if len(w.starts) != before {
+		t.Error("tasks started after the cancellation")
+	}
+	w.verify()
+}
+
+func TestUpperLimitHoldsThroughATakeover(t *testing.T) {
+	w := newDesk(t, 4)
+	w.noVMs = true
+	w.submit(testJob("a", "clubs", 3000, 10))
+	w.run(500 * time.Millisecond)
+	w.targets["t0"].reachable = false
+	w.takeOver()
+	w.submit(testJob("b", "clubs", 1000, 10))
+	w.run(10 * time.Second)
+	w.verify()
+}
+
+// TestNothingRunsTwiceUnderFaults plays random faults: targets that can't be
+// reached, crash, restart, answer nothing or fail everything, takeovers, and a
+// store that is away.
+func TestNothingRunsTwiceUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newDesk(t, 4)
+		ids := sortedKeys(w.targets)
+		jobs := 0
+		for range rapid.IntRange(10, 40).Draw(rt, "events") {
+			f := w.targets[rapid.SampledFrom(ids).Draw(rt, "target")]
+			switch rapid.SampledFrom([]string{"job", "job", "cut", "heal", "crash", "mute", "speak", "fail", "mend", "takeover", "store", "late", "cancel", "unlist"}).Draw(rt, "event") {
+			case "job":
+				jobs++
+				w.submit(testJob(fmt.Sprintf("j%d", jobs), rapid.SampledFrom([]string{"schools", "clubs"}).Draw(rt, "team"),
+					rapid.Int64Range(50, 1500).Draw(rt, "duration"), rapid.IntRange(1, 6).Draw(rt, "width"), rapid.IntRange(1, 3).Draw(rt, "second width")))
+			case "cut":
+				f.reachable = false
+			case "heal":
+				if f.crashed {
+					w.restart(f)
+				}
+				f.reachable = true
+				f.registered = true
+				w.engine.Register(f.Registration, w.now)
+			case "crash":
+				w.crash(f)
+			case "mute":
+				f.mute = true
+			case "speak":
+				f.mute = false
+			case "fail":
+				f.failing = true
+			case "mend":
+				f.failing = false
+			case "takeover":
+				w.takeOver()
+			case "store":
+				w.storeDown = !w.storeDown
+			case "late":
+				w.noVMs = !w.noVMs
+			case "cancel":
+				if jobs > 0 {
+					w.cancel(fmt.Sprintf("j%d", rapid.IntRange(1, jobs).Draw(rt, "job")))
+				}
+			case "unlist":
+				f.registered = false
+				w.engine.Unregister(f.ID, w.now)
+			}
+			w.run(time.Duration(rapid.IntRange(10, 1500).Draw(rt, "pause")) * time.Millisecond)
+		}
+		for _, f := range w.failures {
+			rt.Error(f)
+		}
+	})
+}
--- a/pkg/orchestrator/progress.go
+++ b/pkg/orchestrator/progress.go
@@ -96,13 +96,13 @@
 		}
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.done || t.failures > 0 {
+				if t.done || len(t.failedRuns) > 0 {
 					p.Notes = append(p.Notes, jobkeeper.Note{
 						Occurrence: number,
 						Step:       s.index,
 						Index:      t.index,
 						Done:       t.done,
-						Failures:   t.failures,
+						FailedRuns: t.failedRuns,
 					})
 				}
 			}
--- /dev/null
+++ b/pkg/orchestrator/world_test.go
@@ -0,0 +1,656 @@
+package orchestrator_test
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/orchestrator"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+const (
+	worldStep  = 10 * time.Millisecond
+	worldHold  = 2 * time.Second
+	worldLimit = 6 * time.Second
+	wallStart  = int64(1_700_000_000_000)
+)
+
+// world plays the targets, the list of VMs and the store for an engine, in virtual
+// time, and checks from outside what the targets run.
+type world struct {
+	t       testing.TB
+	now     time.Duration
+	engine  *orchestrator.Engine
+	fence   storer.Version
+	conf    orchestrator.Configuration
+	jobs    map[string]*jobkeeper.Job
+	created map[string]storer.Version
+	stored  map[string]*jobkeeper.Progress
+	version map[string]storer.Version
+	roster  []string
+	targets map[string]*fakeTarget
+	late    []lateOrder
+	// cancelled jobs must not start again.
+	cancelled map[string]bool
+	storeDown bool
+	noVMs     bool // the list of VMs can't be read
+	noted     map[string]bool
+	failures  []string
+	starts    map[string]int
+	maxUsed   map[string]jobkeeper.Resources
+}
+
+// fakeTarget is a target with its VM.
+type fakeTarget struct {
+	orchestrator.Registration
+	registered bool
+	reachable  bool
+	crashed    bool
+	mute       bool // orders are carried out and not answered
+	fence      storer.Version
+	deadline   time.Duration
+	runs       map[uint64]*fakeRun
+	ended      []orchestrator.End
+	number     uint64
+	stopped    map[uint64]bool
+	state      orchestrator.VMState
+	failing    bool
+	frozen     bool // tasks make no progress
+}
+
+type fakeRun struct {
+	task     jobkeeper.TaskID
+	run      uint64
+	started  time.Duration
+	duration time.Duration
+	lasting  bool
+	percent  int
+	needs    jobkeeper.Resources
+}
+
+type lateOrder struct {
+	at    time.Duration
+	order orchestrator.Order
+}
+
+func newWorld(t testing.TB, conf orchestrator.Configuration) *world {
+	w := &world{
+		t:         t,
+		now:       time.Second,
+		conf:      conf,
+		jobs:      map[string]*jobkeeper.Job{},
+		created:   map[string]storer.Version{},
+		stored:    map[string]*jobkeeper.Progress{},
+		version:   map[string]storer.Version{},
+		targets:   map[string]*fakeTarget{},
+		cancelled: map[string]bool{},
+		noted:     map[string]bool{},
+		starts:    map[string]int{},
+		maxUsed:   map[string]jobkeeper.Resources{},
+	}
+	return w
+}
+
+// takeOver replaces the owner by a new one, which knows only what is stored.
+func (w *world) takeOver() {
+	w.fence += 100
+	w.engine = orchestrator.New(orchestrator.Config{
+		Logger:       hclog.NewNullLogger(),
+		Fence:        w.fence,
+		AcquiredAt:   w.now,
+		Hold:         worldHold,
+		MaxHold:      worldLimit,
+		StopTime:     200 * time.Millisecond,
+		RemoteFactor: 1.5,
+		AwayNotice:   4 * time.Second,
+		Retention:    time.Minute,
+		Roster:       w.roster,
+		First:        len(w.roster) == 0,
+	})
+	w.engine.Configure(w.conf)
+	for _, id := range sortedKeys(w.jobs) {
+		w.addJob(id)
+	}
+	for _, id := range sortedKeys(w.targets) {
+		if w.targets[id].registered {
+			w.engine.Register(w.targets[id].Registration, w.now)
+		}
+	}
+}
+
+func (w *world) addJob(id string) {
+	p := w.stored[id]
+	if p != nil && p.State.Ended() {
+		w.engine.AddEnded(id, p, w.version[id], w.now)
+		return
+	}
+	w.engine.AddJob(w.jobs[id], w.created[id], p, w.version[id], w.now, w.wall())
+	if w.cancelled[id] {
+		w.engine.Cancel(id, w.now, w.wall())
+	}
+}
+
+func (w *world) wall() int64 { return wallStart + w.now.Milliseconds() }
+
+// submit accepts a job.
+func (w *world) submit(j *jobkeeper.Job) {
+	j.AcceptedMS = w.wall()
+	w.jobs[j.ID] = j
+	w.created[j.ID] = w.fence + 1
+	if w.engine != nil {
+		w.addJob(j.ID)
+	}
+}
+
+func (w *world) cancel(id string) {
+	w.cancelled[id] = true
+	w.engine.Cancel(id, w.now, w.wall())
+}
+
+// addTarget adds a target on a VM of its own.
+func (w *world) addTarget(id, pool string, capacity jobkeeper.Resources) *fakeTarget {
+	f := &fakeTarget{
+		Registration: orchestrator.Registration{
+			Endpoint: orchestrator.Endpoint{
+				ID:      id,
+				Address: id + ":1",
+			},
+			Pool:     pool,
+			Rack:     "r1",
+			Capacity: capacity,
+			Born:     1,
+			VM:       "vm-" + id,
+		},
+		registered: true,
+		reachable:  true,
+		runs:       map[uint64]*fakeRun{},
+		stopped:    map[uint64]bool{},
+		state:      orchestrator.VMUp,
+	}
+	w.targets[id] = f
+	if w.engine != nil {
+		w.engine.Register(f.Registration, w.now)
+	}
+	return f
+}
+
+// run plays the given time.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.step()
+	}
+}
+
+// runUntil plays until the condition holds and returns whether it did in time.
+func (w *world) runUntil(limit time.Duration, condition func() bool) bool {
+	for end := w.now + limit; w.now < end; {
+		if condition() {
+			return true
+		}
+		w.step()
+	}
+	return condition()
+}
+
+func (w *world) step() {
+	w.now += worldStep
+	w.advance()
+	w.deliverLate()
+	if w.engine == nil {
+		return
+	}
+	if w.now%(50*time.Millisecond) == 0 {
+		w.list()
+	}
+	if w.now%(200*time.Millisecond) == 0 && !w.noVMs {
+		w.listVMs()
+	}
+	w.engine.Tick(w.now, w.wall())
+	for _, o := range w.engine.Orders() {
+		w.carryOut(o)
+	}
+	if w.now%(30*time.Millisecond) == 0 {
+		w.record()
+	}
+	w.check()
+}
+
+// advance ends the runs that are done or whose lease has lapsed.
+func (w *world) advance() {
+	for _, id := range sortedKeys(w.targets) {
+		f := w.targets[id]
+		for _, run := range sortedKeys(f.runs) {
+			r := f.runs[run]
+			elapsed := w.now - r.started
+			switch {
+			case w.now > f.deadline:
+				f.end(r, orchestrator.EndLapsed)
+			case f.frozen:
+			case f.failing && elapsed > 100*time.Millisecond:
+				f.end(r, orchestrator.EndFailed)
+			case r.lasting:
+				r.percent = 100
+			case elapsed >= r.duration:
+				f.end(r, orchestrator.EndDone)
+			default:
+				r.percent = int(100 * elapsed / r.duration)
+			}
+		}
+	}
+}
+
+func (f *fakeTarget) end(r *fakeRun, how orchestrator.Ending) {
+	delete(f.runs, r.run)
+	f.number++
+	f.ended = append(f.ended, orchestrator.End{
+		Number: f.number,
+		Task:   r.task,
+		Run:    r.run,
+		How:    how,
+	})
+}
+
+// crash ends a target's life without a trace.
+func (w *world) crash(f *fakeTarget) {
+	f.crashed = true
+	f.reachable = false
+	f.runs = map[uint64]*fakeRun{}
+	f.state = orchestrator.VMDown
+}
+
+// restart begins a new life of a crashed target under the same identifier.
+func (w *world) restart(f *fakeTarget) {
+	f.crashed = false
+	f.reachable = true
+	f.Born++
+	f.fence = 0
+	f.number = 0
+	f.ended = nil
+	f.deadline = 0
+	f.stopped = map[uint64]bool{}
+	f.state = orchestrator.VMUp
+	f.registered = true
+	w.engine.Register(f.Registration, w.now)
+}
+
+func (w *world) list() {
+	for _, id := range sortedKeys(w.targets) {
+		f := w.targets[id]
+		plan, known := w.engine.Hold(id, w.now)
+		if !known || plan.Idle {
+			continue
+		}
+		w.engine.Holding(plan)
+		if !f.reachable || plan.Fence < f.fence {
+			w.engine.Unanswered(id, w.now)
+			continue
+		}
+		f.fence = plan.Fence
+		f.extend(plan.DeadlineMS, w.now)
+		w.acknowledge(f, plan.Acknowledged)
+		l := orchestrator.Listing{
+			Plan:       plan,
+			ClockMS:    w.now.Milliseconds(),
+			Born:       f.Born,
+			Ended:      append([]orchestrator.End(nil), f.ended...),
+			SentAt:     w.now,
+			ReceivedAt: w.now + time.Millisecond,
+		}
+		for _, run := range sortedKeys(f.runs) {
+			r := f.runs[run]
+			l.Running = append(l.Running, orchestrator.Run{
+				Task:    r.task,
+				Run:     r.run,
+				Percent: r.percent,
+			})
+		}
+		w.engine.Listed(l, w.wall())
+	}
+}
+
+func (f *fakeTarget) extend(deadlineMS int64, now time.Duration) {
+	limit := now + worldLimit
+	f.deadline = max(f.deadline, min(limit, time.Duration(deadlineMS)*time.Millisecond))
+}
+
+// acknowledge forgets ends and remembers which tasks are known to be done.
+func (w *world) acknowledge(f *fakeTarget, through uint64) {
+	var kept []orchestrator.End
+	for _, e := range f.ended {
+		if e.Number > through {
+			kept = append(kept, e)
+			continue
+		}
+		if e.How == orchestrator.EndDone {
+			w.noted[e.Task.String()] = true
+		}
+	}
+	f.ended = kept
+}
+
+func (w *world) listVMs() {
+	var vms []orchestrator.VM
+	for _, id := range sortedKeys(w.targets) {
+		f := w.targets[id]
+		vm := orchestrator.VM{
+			ID:       f.VM,
+			Pool:     f.Pool,
+			State:    f.state,
+			Capacity: f.Capacity,
+		}
+		if !f.crashed {
+			vm.Target = id
+		}
+		vms = append(vms, vm)
+	}
+	w.engine.SetVMs(vms, w.now, w.now)
+}
+
+// carryOut gives an order to a target or to the service for VMs and passes the answer on.
+func (w *world) carryOut(o orchestrator.Order) {
+	answer := orchestrator.Answer{
+		Order:      o,
+		Outcome:    orchestrator.OutcomeUnknown,
+		SentAt:     w.now,
+		ReceivedAt: w.now + time.Millisecond,
+	}
+	f := w.targets[o.Target.ID]
+	switch {
+	case o.Kind == orchestrator.KindMove || o.Kind == orchestrator.KindServe:
+		answer.Outcome = w.orderVM(o)
+	case f == nil || !f.reachable:
+	default:
+		answer.Outcome = w.orderTarget(f, o)
+		answer.ClockMS = w.now.Milliseconds()
+		if f.mute {
+			answer.Outcome = orchestrator.OutcomeUnknown
+			answer.ClockMS = 0
+		}
+	}
+	w.engine.Answered(answer, w.now+time.Millisecond)
+}
+
+// delay makes an order arrive later, without an answer.
+func (w *world) delay(o orchestrator.Order, d time.Duration) {
+	w.late = append(w.late, lateOrder{
+		at:    w.now + d,
+		order: o,
+	})
+}
+
+func (w *world) deliverLate() {
+	var kept []lateOrder
+	for _, l := range w.late {
+		if l.at > w.now {
+			kept = append(kept, l)
+			continue
+		}
+		if f := w.targets[l.order.Target.ID]; f != nil && !f.crashed {
+			w.orderTarget(f, l.order)
+		}
+	}
+	w.late = kept
+}
+
+func (w *world) orderTarget(f *fakeTarget, o orchestrator.Order) orchestrator.Outcome {
+	if o.Fence < f.fence {
+		return orchestrator.OutcomeFenced
+	}
+	f.fence = o.Fence
+	switch o.Kind {
+	case orchestrator.KindStop:
+		f.stopped[o.Run] = true
+		if r := f.runs[o.Run]; r != nil {
+			f.end(r, orchestrator.EndStopped)
+		}
+	case orchestrator.KindStart:
+		return w.startOn(f, o)
+	}
+	return orchestrator.OutcomeOK
+}
+
+func (w *world) startOn(f *fakeTarget, o orchestrator.Order) orchestrator.Outcome {
+	step := w.jobs[o.Task.Job].Steps[o.Task.Step]
+	switch {
+	case f.runs[o.Run] != nil:
+		return orchestrator.OutcomeOK
+	case f.stopped[o.Run]:
+		return orchestrator.OutcomeOld
+	case time.Duration(o.DeadlineMS)*time.Millisecond < w.now:
+		return orchestrator.OutcomeLate
+	case !step.Reserved().FitsIn(f.Capacity.Minus(f.used())):
+		f.extend(o.DeadlineMS, w.now)
+		return orchestrator.OutcomeNoRoom
+	}
+	f.extend(o.DeadlineMS, w.now)
+	f.runs[o.Run] = &fakeRun{
+		task:     o.Task,
+		run:      o.Run,
+		started:  w.now,
+		duration: time.Duration(step.EstimateMS) * time.Millisecond,
+		lasting:  step.Lasting,
+		needs:    step.Reserved(),
+	}
+	w.starts[o.Task.String()]++
+	w.checkStart(o)
+	return orchestrator.OutcomeOK
+}
+
+func (f *fakeTarget) used() jobkeeper.Resources {
+	var sum jobkeeper.Resources
+	for _, r := range f.runs {
+		sum = sum.Plus(r.needs)
+	}
+	return sum
+}
+
+// orderVM ends the life of the target on a VM and begins a new one at once.
+func (w *world) orderVM(o orchestrator.Order) orchestrator.Outcome {
+	for _, f := range w.targets {
+		if f.VM != o.VM {
+			continue
+		}
+		f.runs = map[uint64]*fakeRun{}
+		f.Born++
+		f.fence, f.number, f.deadline, f.ended = 0, 0, 0, nil
+		f.stopped = map[uint64]bool{}
+		if o.Kind == orchestrator.KindMove {
+			f.Pool = o.Pool
+		}
+		w.engine.Register(f.Registration, w.now)
+		return orchestrator.OutcomeOK
+	}
+	return orchestrator.OutcomeInvalid
+}
+
+// record writes what the engine asks for, unless the store is down.
+func (w *world) record() {
+	b := w.engine.TakeChanges(w.now)
+	for _, c := range b.Changes {
+		if w.storeDown {
+			w.engine.Retry(c)
+			continue
+		}
+		w.version[c.Job]++
+		w.stored[c.Job] = c.Progress
+		w.engine.Recorded(c, w.version[c.Job])
+	}
+	if w.storeDown {
+		return
+	}
+	if b.Roster != nil {
+		w.roster = b.Roster
+	}
+	w.engine.Settled(&b)
+}
+
+// checkStart checks what must hold when a target starts a task.
+func (w *world) checkStart(o orchestrator.Order) {
+	if w.noted[o.Task.String()] && !w.jobs[o.Task.Job].Steps[o.Task.Step].Lasting {
+		w.fail("%s started after its end was acknowledged", o.Task)
+	}
+	step := w.jobs[o.Task.Job].Steps[o.Task.Step]
+	for _, after := range step.After {
+		for i := range w.jobs[o.Task.Job].Steps[after].Count {
+			id := o.Task
+			id.Step, id.Index = after, i
+			if w.starts[id.String()] == 0 {
+				w.fail("%s started before %s", o.Task, id)
+			}
+		}
+	}
+}
+
+// check checks what must hold at every moment.
+func (w *world) check() {
+	running := map[string]string{}
+	used := map[string]jobkeeper.Resources{}
+	for _, id := range sortedKeys(w.targets) {
+		f := w.targets[id]
+		if !f.used().FitsIn(f.Capacity) {
+			w.fail("%s is over its capacity", id)
+		}
+		for _, r := range f.runs {
+			if other, twice := running[r.task.String()]; twice {
+				w.fail("%s runs on %s and on %s", r.task, other, id)
+			}
+			running[r.task.String()] = id
+			team := w.jobs[r.task.Job].Team
+			used[team] = used[team].Plus(w.jobs[r.task.Job].Steps[r.task.Step].Needs)
+		}
+	}
+	for name, team := range w.conf.Teams {
+		if limit := team.Limit.CPUMillis; limit > 0 && used[name].CPUMillis > limit {
+			w.fail("team %s uses %d of %d", name, used[name].CPUMillis, limit)
+		}
+	}
+}
+
+func (w *world) fail(format string, args ...any) {
+	if len(w.failures) < 10 {
+		w.failures = append(w.failures, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+	}
+}
+
+// verify reports the failures that were found.
+func (w *world) verify() {
+	w.t.Helper()
+	for _, f := range w.failures {
+		w.t.Error(f)
+	}
+}
+
+// state returns the recorded state of a job.
+func (w *world) state(id string) jobkeeper.State {
+	if p := w.stored[id]; p != nil {
+		return p.State
+	}
+	return jobkeeper.StateQueued
+}
+
+// runningOn returns the target that runs a task, or "".
+func (w *world) runningOn(task string) string {
+	for _, id := range sortedKeys(w.targets) {
+		for _, r := range w.targets[id].runs {
+			if r.task.String() == task {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
+func sortedKeys[K ~string | ~uint64, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	return keys
+}
+
+// testConfiguration has one queue on one pool, with two teams.
+func testConfiguration() orchestrator.Configuration {
+	return orchestrator.Configuration{
+		Queues: map[string]orchestrator.Queue{
+			"quotes": {
+				Name:          "quotes",
+				Pool:          "desk",
+				MaxAttempts:   4,
+				StretchFactor: 1.6,
+				TargetLatency: 600 * time.Millisecond,
+			},
+		},
+		Teams: map[string]orchestrator.Team{
+			"schools": {
+				Name:   "schools",
+				Weight: 50,
+			},
+			"clubs": {
+				Name:   "clubs",
+				Weight: 50,
+				Limit: jobkeeper.Resources{
+					CPUMillis: 8000,
+				},
+			},
+		},
+		Pools: map[string]orchestrator.Pool{
+			"desk": {
+				Name: "desk",
+			},
+		},
+	}
+}
+
+// cores returns resources of a number of cores.
+func cores(n int64) jobkeeper.Resources {
+	return jobkeeper.Resources{
+		CPUMillis: n * 1000,
+		MemoryMB:  n * 1000,
+	}
+}
+
+// testJob returns a job with steps of the given widths, each after the one before.
+func testJob(id, team string, durationMS int64, widths ...int) *jobkeeper.Job {
+	j := &jobkeeper.Job{
+		ID:    id,
+		Queue: "quotes",
+		Team:  team,
+		Pool:  "desk",
+	}
+	for i, width := range widths {
+		s := jobkeeper.Step{
+			Count:      width,
+			Needs:      cores(2),
+			EstimateMS: durationMS,
+		}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
+
+// lastingJob returns a job of tasks that last, one a target, of which so many may be down.
+func lastingJob(id string, count, mayMiss int) *jobkeeper.Job {
+	return &jobkeeper.Job{
+		ID:    id,
+		Queue: "quotes",
+		Team:  "schools",
+		Pool:  "desk",
+		Steps: []jobkeeper.Step{{
+			Count:     count,
+			Needs:     cores(2),
+			PerTarget: 1,
+			Lasting:   true,
+			MayMiss:   mayMiss,
+			Protected: mayMiss > 0,
+		}},
+	}
+}
