Size pools for the load that arrives, and let VMs of a wave move

The offered load, averaged over 0.6 s, now counts; the neediest pool comes first; idle VMs are parked after 1.2 s. Ruled out: the platform; a move is answered in 13 ms and done after 1.7 s.

--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -15,7 +16,29 @@
 	capacity      int64 // of usable targets
 	waitingJobs   int   // accepted jobs of which no task has started
 	backlogMS     int64 // core-milliseconds of work that can still be on time
-	idleSince     time.Duration
+	lastingMillis int64 // reserved by lasting tasks, whether they run or wait
+}
+
+// offeredLoad estimates the work that arrives, in thousandths of a core that it
+// keeps busy. It is the sum of the arrivals, each decaying over offeredMemory.
+type offeredLoad struct {
+	millis float64
+	at     time.Duration
+}
+
+// offeredMemory is the time over which arrivals are averaged: short enough to see a
+// burst within half a second, long enough for a dozen jobs.
+const offeredMemory = 600 * time.Millisecond
+
+// add notes the arrival of work in core-milliseconds.
+func (o *offeredLoad) add(workMS int64, now time.Duration) {
+	o.millis = o.rate(now) + float64(workMS)*1000/float64(offeredMemory.Milliseconds())
+	o.at = now
+}
+
+// rate returns the offered load now, in thousandths of a core.
+func (o *offeredLoad) rate(now time.Duration) float64 {
+	return o.millis * math.Exp(-float64(now-o.at)/float64(offeredMemory))
 }
 
 // tokenBucket measures how much a team sends against what it may expect.
@@ -54,10 +77,7 @@
 // measure computes the demand of each pool.
 func (e *Engine) measure(now time.Duration) {
 	for _, p := range e.pools {
-		idle := p.demand.idleSince
-		p.demand = demand{
-			idleSince: idle,
-		}
+		p.demand = demand{}
 		for _, t := range p.targets {
 			if !e.usable(t, now) {
 				continue
@@ -86,6 +106,9 @@
 				continue
 			}
 			left := int64(len(s.tasks)-s.done) * s.step.Needs.CPUMillis
+			if s.step.Lasting {
+				p.demand.lastingMillis += left
+			}
 			if !late && !s.step.Lasting {
 				p.demand.backlogMS += left * s.step.EstimateMS / 1000
 			}
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -162,6 +162,9 @@
 		j.endedMS = progress.EndedMS
 	}
 	j.excess = e.exceeds(doc, now)
+	if progress == nil && !doc.Scheduled() && !doc.Lasting() {
+		e.pool(e.poolOf(j)).offered.add(doc.WorkMS(), now)
+	}
 	e.openOccurrences(now, nowMS)
 	if progress != nil {
 		e.applyNotes(j, progress.Notes, now, nowMS)
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -11,9 +11,9 @@
 	// moveDelay is how long a target must be idle before it may move.
 	moveDelay = 300 * time.Millisecond
 	// parkDelay is how long a target must be idle before it goes to a spare pool.
-	parkDelay = 2500 * time.Millisecond
+	parkDelay = 1200 * time.Millisecond
 	// maxMovesPerRound bounds the moves of one round.
-	maxMovesPerRound = 8
+	maxMovesPerRound = 12
 	// comingShare is the part of the demand of later steps that is moved for: it
 	// comes when what runs now makes room.
 	comingShare = 0.3
@@ -22,6 +22,7 @@
 // movePlan holds what rebalance remembers between rounds.
 type movePlan struct {
 	lastRound time.Duration
+	loggedAt  time.Duration
 	pending   map[string]int // VMs under way, by pool
 	idleSince map[string]time.Duration
 }
@@ -34,6 +35,7 @@
 	e.moves.lastRound = now
 	e.measure(now)
 	e.noteIdle(now)
+	e.logPools(now)
 	e.moves.pending = map[string]int{}
 	for id := range e.wave.busy {
 		if vm, ok := e.wave.vms[id]; ok {
@@ -41,7 +43,9 @@
 		}
 	}
 	left := maxMovesPerRound
-	for _, name := range e.sortedPools() {
+	names := e.sortedPools()
+	sort.SliceStable(names, func(i, j int) bool { return e.pools[names[i]].shortage(now) > e.pools[names[j]].shortage(now) })
+	for _, name := range names {
 		if !e.spare(name) {
 			left -= e.fill(e.pools[name], left, now)
 		}
@@ -49,6 +53,29 @@
 	e.park(left, now)
 }
 
+// logPools writes what moves are decided on, once a second.
+func (e *Engine) logPools(now time.Duration) {
+	if now-e.moves.loggedAt < poolLogInterval {
+		return
+	}
+	e.moves.loggedAt = now
+	for _, name := range e.sortedPools() {
+		p := e.pools[name]
+		idle := 0
+		for _, t := range p.targets {
+			if len(t.attempts) == 0 {
+				idle++
+			}
+		}
+		e.cfg.Logger.Info("pool", "pool", name, "targets", len(p.targets), "idle", idle, "waiting_jobs", p.demand.waitingJobs,
+			"capacity_millicores", p.demand.capacity, "busy_millicores", p.demand.busyMillis,
+			"waiting_millicores", p.demand.waitingMillis, "coming_millicores", p.demand.comingMillis, "offered_millicores", int64(p.offered.rate(now)))
+	}
+}
+
+// poolLogInterval separates two log lines about a pool.
+const poolLogInterval = time.Second
+
 // noteIdle tracks since when targets are idle.
 func (e *Engine) noteIdle(now time.Duration) {
 	idle := map[string]time.Duration{}
@@ -63,16 +90,18 @@
 	e.moves.idleSince = idle
 }
 
-// shortage returns how many more cores, in thousandths, a pool could use at once.
-func (p *pool) shortage() int64 {
-	wanted := p.demand.waitingMillis + int64(comingShare*float64(p.demand.comingMillis))
-	return wanted - (p.demand.capacity - p.demand.busyMillis)
+// shortage returns how many more cores, in thousandths, a pool could use: now, or
+// soon if work goes on to arrive as it does.
+func (p *pool) shortage(now time.Duration) int64 {
+	present := p.demand.busyMillis + p.demand.waitingMillis + int64(comingShare*float64(p.demand.comingMillis))
+	expected := p.demand.lastingMillis + int64(p.offered.rate(now))
+	return max(present, expected) - p.demand.capacity
 }
 
 // fill moves VMs to a pool that lacks room and returns how many.
 func (e *Engine) fill(p *pool, most int, now time.Duration) int {
 	moved := 0
-	lack := p.shortage()
+	lack := p.shortage(now)
 	for _, vm := range e.movable(p.name, now) {
 		size := e.wave.vms[vm].Capacity.CPUMillis
 		if moved >= most || size <= 0 || lack-int64(e.moves.pending[p.name])*size < size/4 {
@@ -91,7 +120,7 @@
 	var off, idle []string
 	for _, id := range sortedVMs(e.wave.vms) {
 		vm := e.wave.vms[id]
-		if vm.Pool == pool || vm.State != VMUp || now < e.wave.retryAt[id] || e.inWave(id) {
+		if vm.Pool == pool || vm.State != VMUp || now < e.wave.retryAt[id] {
 			continue
 		}
 		if _, busy := e.wave.busy[id]; busy {
@@ -105,7 +134,7 @@
 		if t == nil || !e.usable(t, now) || len(t.attempts) > 0 || now-e.moves.idleSince[t.ID] < moveDelay {
 			continue
 		}
-		if e.pool(vm.Pool).shortage()+t.Capacity.CPUMillis <= 0 {
+		if e.pool(vm.Pool).shortage(now)+t.Capacity.CPUMillis <= 0 {
 			idle = append(idle, id)
 		}
 	}
@@ -125,16 +154,16 @@
 	}
 	for _, name := range e.sortedPools() {
 		p := e.pools[name]
-		if e.spare(name) || p.shortage() > 0 {
+		if e.spare(name) || p.shortage(now) > 0 {
 			continue
 		}
 		for _, t := range p.targets {
 			since, idle := e.moves.idleSince[t.ID]
 			_, busy := e.wave.busy[t.VM]
-			if most <= 0 || !idle || busy || t.VM == "" || !e.usable(t, now) || now-since < parkDelay || e.inWave(t.VM) || now < e.wave.retryAt[t.VM] {
+			if most <= 0 || !idle || busy || t.VM == "" || !e.usable(t, now) || now-since < parkDelay || now < e.wave.retryAt[t.VM] {
 				continue
 			}
-			if p.shortage()+t.Capacity.CPUMillis > 0 || len(p.targets) <= minPoolTargets {
+			if p.shortage(now)+t.Capacity.CPUMillis > 0 || len(p.targets) <= minPoolTargets {
 				break
 			}
 			p.demand.capacity -= t.Capacity.CPUMillis
@@ -151,7 +180,7 @@
 func (e *Engine) move(vm, to string, now time.Duration) {
 	from := e.wave.vms[vm]
 	e.cfg.Logger.Info("VM moves", "vm", vm, "from", from.Pool, "to", to,
-		"shortage_millicores", e.pool(to).shortage(), "list_age_ms", (now - e.wave.listedAt).Milliseconds())
+		"shortage_millicores", e.pool(to).shortage(now), "list_age_ms", (now - e.wave.listedAt).Milliseconds())
 	e.vmOrder(Order{
 		Kind: KindMove,
 		VM:   vm,
@@ -159,21 +188,6 @@
 	}, now)
 }
 
-// inWave reports whether a VM still waits for its upkeep.
-func (e *Engine) inWave(vm string) bool {
-	for _, w := range e.wave.active {
-		if w.complete || w.done[vm] {
-			continue
-		}
-		for _, member := range w.VMs {
-			if member == vm {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // leaving reports whether the target's VM was ordered to move.
 func (e *Engine) leaving(t *target) bool { return t.removing }
 
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -126,6 +126,7 @@
 	ejector *ejector.Ejector
 	targets []*target
 	demand  demand
+	offered offeredLoad
 }
 
 // New returns an Engine without jobs and targets.
