Plan which jobs end on time, and give VMs to those

Now a plan names the jobs that can end on time in the room there is, started ones first; the others follow. Moves count planned work; targets that only run late work yield their VMs.

--- a/internal/manager/follower.go
+++ b/internal/manager/follower.go
@@ -39,6 +39,7 @@
 	loaded   chan struct{}
 	ready    atomic.Bool
 	lost     bool
+	failedAt atomic.Int64 // when a call last failed
 }
 
 func newFollower(cfg followerConfig) *follower {
@@ -47,6 +48,7 @@
 		loaded: make(chan struct{}),
 	}
 	f.provedAt.Store(-int64(time.Hour))
+	f.failedAt.Store(-int64(time.Hour))
 	return f
 }
 
@@ -55,6 +57,11 @@
 	return f.cfg.Clock() - time.Duration(f.provedAt.Load())
 }
 
+// lostWithin reports whether a call failed within the time.
+func (f *follower) lostWithin(d time.Duration) bool {
+	return f.cfg.Clock()-time.Duration(f.failedAt.Load()) < d
+}
+
 // run follows the prefix until ctx ends.
 func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -133,6 +140,7 @@
 }
 
 func (f *follower) failed(err error) {
+	f.failedAt.Store(int64(f.cfg.Clock()))
 	if !f.lost {
 		f.lost = true
 		f.cfg.Logger.Warn("store lost", "prefix", f.cfg.Prefix, "age_ms", f.age().Milliseconds(), "error", err)
--- a/internal/manager/holder.go
+++ b/internal/manager/holder.go
@@ -208,7 +208,8 @@
 		Outcome: orchestrator.OutcomeRefused,
 		SentAt:  o.cfg.Clock(),
 	}
-	if o.entitled() && o.cfg.VMs != nil {
+	renewed := o.cfg.Clock()-o.term.RenewedAt() < dutyRenewal
+	if o.entitled() && renewed && o.cfg.VMs != nil {
 		call, cancel := context.WithTimeout(ctx, vmTimeout)
 		defer cancel()
 		answer.Outcome, answer.Err = o.cfg.VMs.Order(call, order)
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -166,7 +166,7 @@
 		ImpactLimit:        b.ImpactLimit,
 		AwayNotice:         b.AwayNotice,
 		Retention:          b.Retention + retentionReserve,
-		DutyDelay:          b.DutyLease + dutyReserve,
+		DutyDelay:          o.dutyDelay(),
 		Roster:             roster,
 		First:              len(roster) == 0,
 	})
@@ -187,9 +187,27 @@
 	// retentionReserve keeps states a little longer than promised.
 	retentionReserve = 10 * time.Second
 	// dutyReserve is added to the time that separates orders of two holders for VMs.
-	dutyReserve = 300 * time.Millisecond
+	dutyReserve = 100 * time.Millisecond
+	// dutyRenewal is the greatest age of the last renewal with which an owner gives
+	// orders for VMs. The earlier owner's last order is then known to be older than
+	// the rest of its lease.
+	dutyRenewal = 500 * time.Millisecond
 )
 
+// dutyDelay returns how long a new owner waits before its first order for a VM, so
+// that orders of two holders do not mix. After an outage of the store the earlier
+// owner stopped long ago.
+func (o *owner) dutyDelay() time.Duration {
+	if o.operators.lostWithin(o.cfg.Bounds.DutyLease) {
+		return dutyReserve
+	}
+	lease := time.Duration((1 - leaseDrift) * float64(ownerTTL))
+	return max(0, o.cfg.Bounds.DutyLease-lease+dutyRenewal) + dutyReserve
+}
+
+// leaseDrift is the greatest difference in rate between clocks; the platform states 2%.
+const leaseDrift = 0.03
+
 // awaitConfiguration waits until attempts and pools of the queues are known.
 func (o *owner) awaitConfiguration(ctx context.Context) error {
 	for {
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -66,6 +66,7 @@
 	AcquiredAt time.Duration
 	Lease      storer.LeaseID
 	ValidUntil func() time.Duration // end of the right on the clock of Config
+	RenewedAt  func() time.Duration // when the last successful renewal was sent
 }
 
 // Run competes until ctx is done. While this daemon is the owner, it calls lead with
@@ -173,6 +174,7 @@
 			AcquiredAt: e.cfg.Clock(),
 			Lease:      lease,
 			ValidUntil: held.until,
+			RenewedAt:  held.renewedAt,
 		})
 	}()
 	reason := e.renew(leading, lease, ttl, held, done)
--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -12,10 +12,11 @@
 type demand struct {
 	waitingMillis int64 // thousandths of a core that tasks which could start ask for
 	comingMillis  int64 // the same for tasks of later steps of running jobs
+	lateMillis    int64 // the same for waiting tasks of jobs that can't be on time
 	busyMillis    int64 // reserved by what runs
 	capacity      int64 // of usable targets
 	waitingJobs   int   // accepted jobs of which no task has started
-	backlogMS     int64 // core-milliseconds of work that can still be on time
+	backlogMS     int64 // core-milliseconds of all work that is left
 	lastingMillis int64 // reserved by lasting tasks, whether they run or wait
 }
 
@@ -100,7 +101,6 @@
 		p.demand.waitingJobs++
 	}
 	for _, o := range j.occurrences {
-		late := now > o.due+e.objective(j)
 		for _, s := range o.steps {
 			if s.done == len(s.tasks) || s.step.Filling {
 				continue
@@ -109,14 +109,22 @@
 			if s.step.Lasting {
 				p.demand.lastingMillis += left
 			}
-			if !late && !s.step.Lasting {
-				p.demand.backlogMS += left * s.step.EstimateMS / 1000
+			if !s.step.Lasting {
+				millis, _ := s.left(now)
+				p.demand.backlogMS += millis
 			}
 			if !s.ready() {
-				p.demand.comingMillis += left
+				if j.planned {
+					p.demand.comingMillis += left
+				}
 				continue
 			}
-			p.demand.waitingMillis += int64(len(s.waitingTasks(now))) * s.step.Needs.CPUMillis
+			waiting := int64(len(s.waitingTasks(now))) * s.step.Needs.CPUMillis
+			if j.planned || s.step.Lasting {
+				p.demand.waitingMillis += waiting
+			} else {
+				p.demand.lateMillis += waiting
+			}
 		}
 	}
 }
@@ -145,14 +153,28 @@
 			Queue:   name,
 			Waiting: waiting[name],
 		}
-		if p.demand.capacity > 0 {
-			state.Wait = time.Duration(p.demand.backlogMS*1000/p.demand.capacity) * time.Millisecond
-		}
+		state.Wait = e.expectedWait(p)
 		states = append(states, state)
 	}
 	return states
 }
 
+// expectedWait returns how long new work of a pool waits if it comes after all that
+// is there. A pool is taken to get the VMs that it can have at once.
+func (e *Engine) expectedWait(p *pool) time.Duration {
+	capacity := p.demand.capacity - p.demand.lastingMillis
+	for id, vm := range e.wave.vms {
+		_, busy := e.wave.busy[id]
+		if busy && vm.Pool == p.name || e.spare(vm.Pool) && vm.State == VMUp {
+			capacity += vm.Capacity.CPUMillis
+		}
+	}
+	if p.demand.backlogMS == 0 {
+		return 0
+	}
+	return time.Duration(p.demand.backlogMS*1000/max(1000, capacity)) * time.Millisecond
+}
+
 func (e *Engine) sortedQueues() []string {
 	names := make([]string, 0, len(e.conf.Queues))
 	for name := range e.conf.Queues {
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -14,6 +14,7 @@
 	created     storer.Version // revision of its document
 	arrival     time.Duration  // when it was accepted, on the engine's clock
 	excess      bool           // beyond what its team may expect
+	planned     bool           // expected to end on time
 	cancelled   bool
 	state       jobkeeper.State
 	reason      string
@@ -162,7 +163,8 @@
 		j.endedMS = progress.EndedMS
 	}
 	j.excess = e.exceeds(doc, now)
-	if progress == nil && !doc.Scheduled() && !doc.Lasting() {
+	j.planned = true
+	if progress == nil && !doc.Scheduled() && !doc.Lasting() && !j.excess {
 		e.pool(e.poolOf(j)).offered.add(doc.WorkMS(), now)
 	}
 	e.openOccurrences(now, nowMS)
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -29,13 +29,17 @@
 
 // rebalance moves idle VMs to pools with more work than room, and to the spare pool.
 func (e *Engine) rebalance(now time.Duration) {
-	if now-e.moves.lastRound < moveInterval || now < e.cfg.AcquiredAt+e.cfg.DutyDelay || e.wave.listedAt == 0 {
+	if now-e.moves.lastRound < moveInterval || e.wave.listedAt == 0 {
 		return
 	}
 	e.moves.lastRound = now
 	e.measure(now)
 	e.noteIdle(now)
 	e.logPools(now)
+	if now < e.cfg.AcquiredAt+e.cfg.DutyDelay {
+		e.yield(now)
+		return
+	}
 	e.moves.pending = map[string]int{}
 	for id := range e.wave.busy {
 		if vm, ok := e.wave.vms[id]; ok {
@@ -47,7 +51,13 @@
 	sort.SliceStable(names, func(i, j int) bool { return e.pools[names[i]].shortage(now) > e.pools[names[j]].shortage(now) })
 	for _, name := range names {
 		if !e.spare(name) {
-			left -= e.fill(e.pools[name], left, now)
+			left -= e.fill(e.pools[name], e.pools[name].shortage(now), left, now)
+		}
+	}
+	e.yield(now)
+	for _, name := range names {
+		if p := e.pools[name]; !e.spare(name) {
+			left -= e.fill(p, p.shortage(now)+p.demand.lateMillis, left, now)
 		}
 	}
 	e.park(left, now)
@@ -69,7 +79,7 @@
 		}
 		e.cfg.Logger.Info("pool", "pool", name, "targets", len(p.targets), "idle", idle, "waiting_jobs", p.demand.waitingJobs,
 			"capacity_millicores", p.demand.capacity, "busy_millicores", p.demand.busyMillis,
-			"waiting_millicores", p.demand.waitingMillis, "coming_millicores", p.demand.comingMillis, "offered_millicores", int64(p.offered.rate(now)))
+			"waiting_millicores", p.demand.waitingMillis, "coming_millicores", p.demand.comingMillis, "late_millicores", p.demand.lateMillis, "offered_millicores", int64(p.offered.rate(now)))
 	}
 }
 
@@ -98,10 +108,9 @@
 	return max(present, expected) - p.demand.capacity
 }
 
-// fill moves VMs to a pool that lacks room and returns how many.
-func (e *Engine) fill(p *pool, most int, now time.Duration) int {
+// fill moves VMs to a pool that lacks so much room and returns how many.
+func (e *Engine) fill(p *pool, lack int64, most int, now time.Duration) int {
 	moved := 0
-	lack := p.shortage(now)
 	for _, vm := range e.movable(p.name, now) {
 		size := e.wave.vms[vm].Capacity.CPUMillis
 		if moved >= most || size <= 0 || lack-int64(e.moves.pending[p.name])*size < size/4 {
@@ -120,10 +129,7 @@
 	var off, idle []string
 	for _, id := range sortedVMs(e.wave.vms) {
 		vm := e.wave.vms[id]
-		if vm.Pool == pool || vm.State != VMUp || now < e.wave.retryAt[id] {
-			continue
-		}
-		if _, busy := e.wave.busy[id]; busy {
+		if vm.Pool == pool || !e.orderable(vm, now) {
 			continue
 		}
 		if e.spare(vm.Pool) {
@@ -131,16 +137,77 @@
 			continue
 		}
 		t := e.targetOn(id)
-		if t == nil || !e.usable(t, now) || len(t.attempts) > 0 || now-e.moves.idleSince[t.ID] < moveDelay {
+		if t == nil || len(t.attempts) > 0 || !t.yielding && !e.usable(t, now) || now-e.moves.idleSince[t.ID] < moveDelay {
 			continue
 		}
-		if e.pool(vm.Pool).shortage(now)+t.Capacity.CPUMillis <= 0 {
+		if t.yielding || e.pool(vm.Pool).shortage(now)+t.Capacity.CPUMillis <= 0 {
 			idle = append(idle, id)
 		}
 	}
 	return append(off, idle...)
 }
 
+// orderable reports whether a VM can be ordered to move now.
+func (e *Engine) orderable(vm VM, now time.Duration) bool {
+	_, busy := e.wave.busy[vm.ID]
+	return vm.State == VMUp && !busy && now >= e.wave.retryAt[vm.ID]
+}
+
+// yield closes targets of pools that do not need them for work that is on time, so
+// that their VMs can serve pools that do. Lasting tasks are not disturbed.
+func (e *Engine) yield(now time.Duration) {
+	var lack int64
+	for _, p := range e.pools {
+		if !e.spare(p.name) {
+			lack += max(0, p.shortage(now)-int64(e.moves.pending[p.name])*e.vmSize())
+		}
+	}
+	for _, name := range e.sortedPools() {
+		p := e.pools[name]
+		surplus := -p.shortage(now)
+		for _, t := range p.targets {
+			if !t.yielding {
+				continue
+			}
+			if lack <= 0 || surplus < 0 {
+				t.yielding = false
+			}
+			lack -= t.Capacity.CPUMillis
+		}
+		for _, t := range p.targets {
+			if lack < t.Capacity.CPUMillis/2 || surplus < t.Capacity.CPUMillis {
+				break
+			}
+			if t.VM == "" || !e.usable(t, now) || len(t.attempts) == 0 || t.holdsLasting() {
+				continue
+			}
+			t.yielding = true
+			surplus -= t.Capacity.CPUMillis
+			lack -= t.Capacity.CPUMillis
+			e.cfg.Logger.Info("target yields", "target", t.ID, "pool", name, "running", len(t.attempts), "late_millicores", p.demand.lateMillis)
+		}
+	}
+}
+
+func (t *target) holdsLasting() bool {
+	for _, a := range t.attempts {
+		if a.task.step.step.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// vmSize returns the processors of a VM, in thousandths of a core.
+func (e *Engine) vmSize() int64 {
+	var sum, n int64
+	for _, vm := range e.wave.vms {
+		sum += vm.Capacity.CPUMillis
+		n++
+	}
+	return sum / max(1, n)
+}
+
 // park moves VMs that were idle for long to a spare pool, where they cost nothing.
 func (e *Engine) park(most int, now time.Duration) {
 	to := ""
@@ -154,7 +221,7 @@
 	}
 	for _, name := range e.sortedPools() {
 		p := e.pools[name]
-		if e.spare(name) || p.shortage(now) > 0 {
+		if e.spare(name) || p.shortage(now)+p.demand.lateMillis > 0 {
 			continue
 		}
 		for _, t := range p.targets {
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -111,6 +111,7 @@
 	roster    roster
 	wave      *waves
 	moves     movePlan
+	plannedAt time.Duration
 	blocked   bool // tasks may run on targets of the roster that were not listed yet
 	stats     Stats
 }
@@ -170,6 +171,7 @@
 	e.resolveUncertain(now)
 	e.pace(now)
 	e.maintain(now)
+	e.plan(now)
 	e.start(now)
 	e.rebalance(now)
 }
--- /dev/null
+++ b/pkg/orchestrator/plan.go
@@ -0,0 +1,97 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/sequencer"
+)
+
+// planInterval separates two plans; between them work keeps its place.
+const planInterval = 40 * time.Millisecond
+
+// plan decides which jobs of each pool are served on time.
+func (e *Engine) plan(now time.Duration) {
+	if now-e.plannedAt < planInterval {
+		return
+	}
+	e.plannedAt = now
+	works := map[string][]sequencer.Work{}
+	for _, j := range e.sortedJobs() {
+		if j.state.Ended() || j.docRemoved || j.doc.Lasting() {
+			continue
+		}
+		name := e.poolOf(j)
+		works[name] = append(works[name], e.work(j, now))
+	}
+	e.measure(now)
+	for name, list := range works {
+		planned := sequencer.Plan(list, e.room(e.pool(name)))
+		for _, w := range list {
+			e.jobs[w.ID].planned = planned[w.ID]
+		}
+	}
+}
+
+// room returns what a pool has for work that ends.
+func (e *Engine) room(p *pool) sequencer.Room {
+	room := sequencer.Room{
+		Millis: max(0, p.demand.capacity-p.demand.lastingMillis),
+		Teams:  map[string]int64{},
+	}
+	for name, team := range e.conf.Teams {
+		if team.Limit.CPUMillis > 0 {
+			room.Teams[name] = team.Limit.CPUMillis
+		}
+	}
+	return room
+}
+
+// work describes what is left of a job. For scheduled jobs the occurrence that is
+// due first counts.
+func (e *Engine) work(j *job, now time.Duration) sequencer.Work {
+	w := sequencer.Work{
+		ID:      j.doc.ID,
+		Team:    j.doc.Team,
+		Started: j.started,
+		Excess:  j.excess,
+		Due:     j.arrival + e.objective(j) - now,
+	}
+	first := j.occurrences[j.finished]
+	if first != nil {
+		w.Due = first.due + e.objective(j) - now
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			millis, chain := s.left(now)
+			w.Millis += millis
+			if o == first {
+				w.Chain = max(w.Chain, chain)
+			}
+		}
+	}
+	return w
+}
+
+// left returns the work of a step that is left, in core-milliseconds, and the chain
+// from its unfinished tasks to the end of the job.
+func (s *stepState) left(now time.Duration) (int64, time.Duration) {
+	if s.done == len(s.tasks) {
+		return 0, 0
+	}
+	var sum, longest int64
+	for _, t := range s.tasks {
+		if t.done {
+			continue
+		}
+		left := s.step.EstimateMS
+		for _, a := range t.attempts {
+			if a.phase == phaseRunning && a.confirmedAt > 0 {
+				left = max(left/10, min(left, left-(now-a.confirmedAt).Milliseconds()))
+			}
+		}
+		sum += left
+		longest = max(longest, left)
+	}
+	chain := s.afterMS - s.step.EstimateMS + longest
+	return sum * s.step.Needs.CPUMillis / 1000, time.Duration(chain) * time.Millisecond
+}
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -95,6 +95,7 @@
 	return sequencer.Candidate{
 		Lasting:  s.step.Lasting && !s.step.Filling,
 		Filling:  s.step.Filling,
+		Planned:  j.planned,
 		Excess:   j.excess,
 		Started:  j.started,
 		Priority: e.conf.Queues[j.doc.Queue].Priority,
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -50,6 +50,7 @@
 	evacuating  bool          // its VM is about to move or to be maintained
 	removing    bool          // its VM was ordered to move or to be maintained
 	dead        bool          // it no longer lives on its VM
+	yielding    bool          // its VM is to serve another pool as soon as it is idle
 }
 
 // contactable reports whether the target answered lately.
@@ -189,7 +190,7 @@
 // usable reports whether the target may get new work.
 func (e *Engine) usable(t *target, now time.Duration) bool {
 	switch {
-	case !t.registered, t.Draining, t.evacuating, t.removing, t.dead:
+	case !t.registered, t.Draining, t.evacuating, t.removing, t.dead, t.yielding:
 		return false
 	case !t.listed, t.failedAt != 0, now < t.closedUntil:
 		return false
--- a/pkg/sequencer/sequencer.go
+++ b/pkg/sequencer/sequencer.go
@@ -20,6 +20,8 @@
 	Lasting bool
 	// Filling tasks use what others leave unused.
 	Filling bool
+	// Planned work is expected to end on time in the room that there is.
+	Planned bool
 	// Excess work is beyond what its team may expect to be served.
 	Excess bool
 	// Started jobs have used room that is wasted if they end late.
@@ -58,12 +60,17 @@
 	return cmp.Or(cmp.Compare(a.Slack, b.Slack), cmp.Compare(a.Arrival, b.Arrival))
 }
 
-// rank puts work that can make its objective first and excess work last.
+// rank puts work that can make its objective first: what has begun before what has
+// not, so that room already used is not wasted. Excess work comes last.
 func rank(c Candidate) int {
 	switch {
-	case c.Excess:
-		return 2
+	case c.Excess && !c.Planned:
+		return 4
 	case c.Late():
+		return 3
+	case !c.Planned:
+		return 2
+	case !c.Started:
 		return 1
 	}
 	return 0
