--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -160,19 +160,12 @@
 }
 
 // expectedWait returns how long new work of a pool waits if it comes after all that
-// is there. A pool is taken to get the VMs that it can have at once.
+// is there.
 func (e *Engine) expectedWait(p *pool) time.Duration {
-	capacity := p.demand.capacity - p.demand.lastingMillis
-	for id, vm := range e.wave.vms {
-		_, busy := e.wave.busy[id]
-		if busy && vm.Pool == p.name || e.spare(vm.Pool) && vm.State == VMUp {
-			capacity += vm.Capacity.CPUMillis
-		}
-	}
 	if p.demand.backlogMS == 0 {
 		return 0
 	}
-	return time.Duration(p.demand.backlogMS*1000/max(1000, capacity)) * time.Millisecond
+	return time.Duration(p.demand.backlogMS*1000/max(1000, e.room(p).Millis)) * time.Millisecond
 }
 
 func (e *Engine) sortedQueues() []string {
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -35,7 +35,7 @@
 // room returns what a pool has for work that ends.
 func (e *Engine) room(p *pool) sequencer.Room {
 	room := sequencer.Room{
-		Millis: max(0, p.demand.capacity-p.demand.lastingMillis),
+		Millis: max(0, p.demand.capacity+e.attainable(p)-p.demand.lastingMillis),
 		Teams:  map[string]int64{},
 	}
 	for name, team := range e.conf.Teams {
@@ -46,6 +46,24 @@
 	return room
 }
 
+// attainable returns the processors, in thousandths of a core, that a pool gets
+// within the time of a move: of VMs under way, and of those that nobody needs.
+func (e *Engine) attainable(p *pool) int64 {
+	var sum int64
+	for id, vm := range e.wave.vms {
+		_, busy := e.wave.busy[id]
+		switch {
+		case busy && vm.Pool == p.name, !busy && vm.State == VMUp && e.spare(vm.Pool):
+			sum += vm.Capacity.CPUMillis
+		case vm.Pool != p.name && !busy && vm.State == VMUp:
+			if t := e.targetOn(id); t != nil && len(t.attempts) == 0 {
+				sum += vm.Capacity.CPUMillis
+			}
+		}
+	}
+	return sum
+}
+
 // work describes what is left of a job. For scheduled jobs the occurrence that is
 // due first counts.
 func (e *Engine) work(j *job, now time.Duration) sequencer.Work {
