--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -17,6 +17,8 @@
 	capacity      int64 // of usable targets
 	waitingJobs   int   // accepted jobs of which no task has started
 	backlogMS     int64 // core-milliseconds of all work that is left
+	usable        int   // targets that may get new work
+	stranded      bool  // a lasting task waits longer than strandedAfter
 	lastingMillis int64 // reserved by lasting tasks, whether they run or wait
 }
 
@@ -83,6 +85,7 @@
 			if !e.usable(t, now) {
 				continue
 			}
+			p.demand.usable++
 			p.demand.capacity += t.Capacity.CPUMillis
 			p.demand.busyMillis += t.used.CPUMillis
 		}
@@ -120,6 +123,9 @@
 				continue
 			}
 			waiting := int64(len(s.waitingTasks(now))) * s.step.Needs.CPUMillis
+			if s.step.Lasting && waiting > 0 {
+				p.demand.stranded = p.demand.stranded || s.stranded(now)
+			}
 			if j.planned || s.step.Lasting {
 				p.demand.waitingMillis += waiting
 			} else {
@@ -129,6 +135,20 @@
 	}
 }
 
+// strandedAfter is how long a lasting task waits for a place before its pool gets
+// another VM.
+const strandedAfter = 400 * time.Millisecond
+
+// stranded reports whether a task of the step waits for long.
+func (s *stepState) stranded(now time.Duration) bool {
+	for _, t := range s.waitingTasks(now) {
+		if now-max(t.lastEnd, s.occurrence.due) > strandedAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // QueueState is what the owner tells the other daemons of a queue.
 type QueueState struct {
 	Queue   string        `cbor:"1,keyasint"`
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -11,7 +11,7 @@
 	// moveDelay is how long a target must be idle before it may move.
 	moveDelay = 300 * time.Millisecond
 	// parkDelay is how long a target must be idle before it goes to a spare pool.
-	parkDelay = 1200 * time.Millisecond
+	parkDelay = 2000 * time.Millisecond
 	// maxMovesPerRound bounds the moves of one round.
 	maxMovesPerRound = 12
 	// comingShare is the part of the demand of later steps that is moved for: it
@@ -105,9 +105,17 @@
 func (p *pool) shortage(now time.Duration) int64 {
 	present := p.demand.busyMillis + p.demand.waitingMillis + int64(comingShare*float64(p.demand.comingMillis))
 	expected := p.demand.lastingMillis + int64(p.offered.rate(now))
-	return max(present, expected) - p.demand.capacity
+	lack := max(present, expected) - p.demand.capacity
+	if p.demand.stranded {
+		// Gaps add up to enough room, but none of them holds the task.
+		lack = max(lack, strandedLack)
+	}
+	return lack
 }
 
+// strandedLack is the shortage that a lasting task without a place stands for.
+const strandedLack = 16000
+
 // fill moves VMs to a pool that lacks so much room and returns how many.
 func (e *Engine) fill(p *pool, lack int64, most int, now time.Duration) int {
 	moved := 0
@@ -116,6 +124,9 @@
 		if moved >= most || size <= 0 || lack-int64(e.moves.pending[p.name])*size < size/4 {
 			break
 		}
+		if from := e.pool(e.wave.vms[vm].Pool); from.demand.usable > 0 {
+			from.demand.usable--
+		}
 		e.move(vm, p.name, now)
 		e.moves.pending[p.name]++
 		moved++
@@ -140,7 +151,8 @@
 		if t == nil || len(t.attempts) > 0 || !t.yielding && !e.usable(t, now) || now-e.moves.idleSince[t.ID] < moveDelay {
 			continue
 		}
-		if t.yielding || e.pool(vm.Pool).shortage(now)+t.Capacity.CPUMillis <= 0 {
+		p := e.pool(vm.Pool)
+		if t.yielding || p.demand.usable > moveFloor && p.shortage(now)+t.Capacity.CPUMillis <= 0 {
 			idle = append(idle, id)
 		}
 	}
@@ -230,9 +242,10 @@
 			if most <= 0 || !idle || busy || t.VM == "" || !e.usable(t, now) || now-since < parkDelay || now < e.wave.retryAt[t.VM] {
 				continue
 			}
-			if p.shortage(now)+t.Capacity.CPUMillis > 0 || len(p.targets) <= minPoolTargets {
+			if p.shortage(now)+t.Capacity.CPUMillis > 0 || p.demand.usable <= parkFloor {
 				break
 			}
+			p.demand.usable--
 			p.demand.capacity -= t.Capacity.CPUMillis
 			e.move(t.VM, to, now)
 			most--
@@ -240,9 +253,13 @@
 	}
 }
 
-// minPoolTargets is the number of targets that a pool keeps, so that the first jobs
-// of a burst start at once.
-const minPoolTargets = 4
+const (
+	// parkFloor is the number of targets that a pool keeps when it is idle, so that the
+	// first jobs of a burst start at once; a VM comes 1.7 s after it is ordered.
+	parkFloor = 5
+	// moveFloor is the number of targets that it keeps when another pool needs VMs.
+	moveFloor = 3
+)
 
 func (e *Engine) move(vm, to string, now time.Duration) {
 	from := e.wave.vms[vm]
