--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -130,7 +130,7 @@
 
 	mu       sync.Mutex
 	draining bool
-	drained  context.CancelFunc
+	resign   context.CancelFunc // ends the ownership and the competition for it
 }
 
 // New returns a Manager.
@@ -179,47 +179,51 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.draining = true
-	if m.drained != nil {
-		m.drained()
+	if m.resign != nil {
+		m.resign()
 	}
 }
 
 // Run works until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
-	owning, stopOwning := context.WithCancel(ctx)
-	defer stopOwning()
-	m.mu.Lock()
-	m.drained = stopOwning
-	m.mu.Unlock()
 	tree := supervisor.Start(supervisor.Config{
 		Logger: m.cfg.Logger.Named("supervisor"),
 	}, supervisor.Component{
-		Name: "manager",
-		Children: []supervisor.Component{
-			{
-				Name: "operators",
-				Run:  m.operators.run,
-			},
-			{
-				Name: "queues",
-				Run:  m.board.run,
-			},
-			{
-				Name: "owner",
-				Run:  func(ctx context.Context) error { return m.compete(ctx, owning) },
-			},
-		},
+		Name:     "manager",
+		Children: m.Components(),
 	})
 	<-ctx.Done()
 	return tree.Stop()
 }
 
-// compete takes part in the election while neither context has ended.
-func (m *Manager) compete(ctx, owning context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+// Components returns the parts of the daemon, for a supervisor.
+func (m *Manager) Components() []supervisor.Component {
+	return []supervisor.Component{
+		{
+			Name: "operators",
+			Run:  m.operators.run,
+		},
+		{
+			Name: "queues",
+			Run:  m.board.run,
+		},
+		{
+			Name: "owner",
+			Run:  m.compete,
+		},
+	}
+}
+
+// compete takes part in the election until ctx ends or the daemon drains.
+func (m *Manager) compete(stopped context.Context) error {
+	ctx, cancel := context.WithCancel(stopped)
 	defer cancel()
-	stop := context.AfterFunc(owning, cancel)
-	defer stop()
+	m.mu.Lock()
+	m.resign = cancel
+	if m.draining {
+		cancel()
+	}
+	m.mu.Unlock()
 	e := elector.New(elector.Config{
 		Store:       m.cfg.Store,
 		Logger:      m.cfg.Logger.Named("elector"),
@@ -232,7 +236,7 @@
 	if err := e.Run(ctx, m.lead); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	<-stopped.Done()
 	return nil
 }
 
--- /dev/null
+++ b/pkg/sequencer/sequencer_test.go
@@ -0,0 +1,249 @@
+package sequencer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/sequencer"
+)
+
+func ExamplePlan() {
+	planned := sequencer.Plan([]sequencer.Work{
+		{
+			ID:     "first",
+			Millis: 8000,
+			Chain:  time.Second,
+			Due:    2 * time.Second,
+		},
+		{
+			ID:     "second",
+			Millis: 8000,
+			Chain:  time.Second,
+			Due:    2 * time.Second,
+		},
+		{
+			ID:      "begun",
+			Started: true,
+			Millis:  8000,
+			Chain:   time.Second,
+			Due:     3 * time.Second,
+		},
+	}, sequencer.Room{
+		Millis: 8000,
+	})
+	fmt.Println(planned["begun"], planned["first"], planned["second"])
+	// Output: true true false
+}
+
+func TestPlan(t *testing.T) {
+	job := func(id string, millis int64, due time.Duration) sequencer.Work {
+		return sequencer.Work{
+			ID:     id,
+			Team:   "schools",
+			Millis: millis,
+			Chain:  time.Second,
+			Due:    due,
+		}
+	}
+	excess := job("x", 4000, 2*time.Second)
+	excess.Excess = true
+	tests := []struct {
+		name  string
+		works []sequencer.Work
+		room  sequencer.Room
+		want  []string
+	}{
+		{"nothing to do", nil, sequencer.Room{Millis: 1000}, nil},
+		{"all fit", []sequencer.Work{job("a", 1000, 2*time.Second), job("b", 1000, 2*time.Second)}, sequencer.Room{Millis: 8000}, []string{"a", "b"}},
+		{"chain longer than what is left", []sequencer.Work{job("a", 1000, 500*time.Millisecond)}, sequencer.Room{Millis: 8000}, nil},
+		{"the most urgent comes first", []sequencer.Work{job("later", 8000, 2200*time.Millisecond), job("soon", 8000, 1500*time.Millisecond)}, sequencer.Room{Millis: 8000}, []string{"later", "soon"}},
+		{"a hopeless job delays nobody", []sequencer.Work{job("late", 80000, 100*time.Millisecond), job("a", 1000, 2*time.Second)}, sequencer.Room{Millis: 8000}, []string{"a"}},
+		{"excess work does not displace work within its share", []sequencer.Work{excess, job("a", 16000, 1100*time.Millisecond)}, sequencer.Room{Millis: 8000}, []string{"a"}},
+		{"no room", []sequencer.Work{job("a", 1000, 2*time.Second), job("b", 1000, 2*time.Second)}, sequencer.Room{}, []string{"a"}},
+		{"upper limit of a team", []sequencer.Work{job("a", 4000, 2*time.Second), job("b", 4000, 2*time.Second)}, sequencer.Room{Millis: 80000, Teams: map[string]int64{"schools": 2000}}, []string{"a"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			planned := sequencer.Plan(test.works, test.room)
+			var got []string
+			for id := range planned {
+				got = append(got, id)
+			}
+			slices.Sort(got)
+			if !slices.Equal(got, test.want) {
+				t.Errorf("planned %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestCompareOrdersByUse(t *testing.T) {
+	order := []struct {
+		name string
+		c    sequencer.Candidate
+	}{
+		{"lasting", sequencer.Candidate{Lasting: true}},
+		{"planned and begun", sequencer.Candidate{Planned: true, Started: true, Slack: 2 * time.Second}},
+		{"planned, urgent", sequencer.Candidate{Planned: true, Slack: time.Second}},
+		{"planned, less urgent", sequencer.Candidate{Planned: true, Slack: 2 * time.Second}},
+		{"not planned", sequencer.Candidate{Slack: time.Second}},
+		{"late", sequencer.Candidate{Slack: -time.Second, Arrival: 1}},
+		{"late, came later", sequencer.Candidate{Slack: -2 * time.Second, Arrival: 2}},
+		{"excess", sequencer.Candidate{Excess: true, Slack: time.Second}},
+	}
+	for i := range order {
+		for k := range order {
+			got := sequencer.Compare(order[i].c, order[k].c)
+			if i < k && got >= 0 || i > k && got <= 0 || i == k && got != 0 {
+				t.Errorf("%s against %s: %d", order[i].name, order[k].name, got)
+			}
+		}
+	}
+}
+
+// simJob is a job of one step in the load that TestBurst plays.
+type simJob struct {
+	arrival  time.Duration
+	due      time.Duration
+	duration time.Duration
+	waiting  int // tasks to start
+	running  int
+	cores    int64
+	planned  bool
+	ended    time.Duration
+}
+
+// playBurst plays five times the mean load of a pool for four seconds and returns
+// how many of the jobs ended on time, and how many could have.
+func playBurst(seed uint64, plan bool) (onTime int, possible float64) {
+	const (
+		step     = 10 * time.Millisecond
+		cores    = 256
+		burst    = 4 * time.Second
+		interval = 40 * time.Millisecond
+	)
+	r := rand.New(rand.NewPCG(seed, 1))
+	var jobs []*simJob
+	for at := time.Duration(0); at < burst; at += interval {
+		jobs = append(jobs, newSimJob(r, at))
+	}
+	type end struct {
+		at  time.Duration
+		job *simJob
+	}
+	var ends []end
+	free := int64(cores)
+	var work, slack float64
+	for _, j := range jobs {
+		work += float64(j.waiting) * float64(j.cores) * j.duration.Seconds()
+		slack += (j.due - j.arrival - j.duration).Seconds()
+	}
+	possible = cores * (burst.Seconds() + slack/float64(len(jobs))) / (work / float64(len(jobs)))
+	for now := time.Duration(0); now < 20*time.Second; now += step {
+		kept := ends[:0]
+		for _, e := range ends {
+			if e.at > now {
+				kept = append(kept, e)
+				continue
+			}
+			free += e.job.cores
+			e.job.running--
+			if e.job.running == 0 && e.job.waiting == 0 {
+				e.job.ended = now
+			}
+		}
+		ends = kept
+		for _, j := range simOrder(jobs, now, cores, plan) {
+			for j.waiting > 0 && free >= j.cores {
+				j.waiting--
+				j.running++
+				free -= j.cores
+				ends = append(ends, end{
+					at:  now + j.duration,
+					job: j,
+				})
+			}
+		}
+	}
+	for _, j := range jobs {
+		if j.ended > 0 && j.ended <= j.due {
+			onTime++
+		}
+	}
+	return onTime, min(possible, float64(len(jobs)))
+}
+
+func newSimJob(r *rand.Rand, at time.Duration) *simJob {
+	duration := time.Duration(500+r.IntN(1000)) * time.Millisecond
+	return &simJob{
+		arrival:  at,
+		duration: duration,
+		due:      at + time.Duration(1.6*float64(duration)) + 600*time.Millisecond,
+		waiting:  2 + r.IntN(9),
+		cores:    int64(1 + r.IntN(5)),
+	}
+}
+
+// simOrder returns the jobs with waiting tasks in the order in which they get room:
+// by plan, or by their due times alone.
+func simOrder(jobs []*simJob, now time.Duration, cores int64, plan bool) []*simJob {
+	var works []sequencer.Work
+	var waiting []*simJob
+	for n, j := range jobs {
+		if j.arrival > now || j.ended > 0 {
+			continue
+		}
+		works = append(works, sequencer.Work{
+			ID:      fmt.Sprint(n),
+			Started: j.running > 0,
+			Millis:  int64(j.waiting+j.running) * j.cores * j.duration.Milliseconds(),
+			Chain:   j.duration,
+			Due:     j.due - now,
+		})
+		if j.waiting > 0 {
+			waiting = append(waiting, j)
+		}
+	}
+	planned := sequencer.Plan(works, sequencer.Room{
+		Millis: cores * 1000,
+	})
+	for n, j := range jobs {
+		j.planned = planned[fmt.Sprint(n)]
+	}
+	slices.SortStableFunc(waiting, func(a, b *simJob) int {
+		if !plan {
+			return int(a.due - b.due)
+		}
+		return sequencer.Compare(a.candidate(now), b.candidate(now))
+	})
+	return waiting
+}
+
+func (j *simJob) candidate(now time.Duration) sequencer.Candidate {
+	return sequencer.Candidate{
+		Planned: j.planned,
+		Started: j.running > 0,
+		Slack:   j.due - j.duration - now,
+		Arrival: j.arrival,
+	}
+}
+
+// Five times the mean for some seconds is more than a pool holds. What it holds has
+// to end on time: with the plan, at least three quarters of what the room allows,
+// and more than an order by due time gives.
+func TestBurstIsServedAsFarAsTheRoomAllows(t *testing.T) {
+	for seed := range uint64(5) {
+		withPlan, possible := playBurst(seed, true)
+		without, _ := playBurst(seed, false)
+		t.Logf("seed %d: %d on time with the plan, %d by due time alone, %.0f possible", seed, withPlan, without, possible)
+		if float64(withPlan) < 0.75*possible {
+			t.Errorf("seed %d: %d jobs on time, want three quarters of %.0f", seed, withPlan, possible)
+		}
+		if withPlan <= without {
+			t.Errorf("seed %d: %d jobs on time with the plan, %d without", seed, withPlan, without)
+		}
+	}
+}
