Decide over active jobs only, with shared views of the targets

Cause: each decision sorted all jobs, also ended ones, and built the view of a pool's targets anew for each waiting step. Effect not measured alone.

--- a/pkg/orchestrator/attempt.go
+++ b/pkg/orchestrator/attempt.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
 )
 
 const (
@@ -24,10 +26,21 @@
 	a.target.attempts[a.run] = a
 	reserved := a.task.step.step.Reserved()
 	a.target.used = a.target.used.Plus(reserved)
+	a.target.count(a.task.step.step, 1)
 	team := a.task.step.job.doc.Team
 	e.usage[team] = e.usage[team].Plus(a.task.step.step.Needs)
 }
 
+// count keeps the numbers of serving and filling runs.
+func (t *target) count(step *jobkeeper.Step, n int) {
+	if step.Filling {
+		t.filling += n
+	}
+	if step.TailTargetMS > 0 {
+		t.serving += n
+	}
+}
+
 // detach removes a run from its task and target.
 func (e *Engine) detach(a *attempt) {
 	if a.target.attempts[a.run] != a {
@@ -35,6 +48,7 @@
 	}
 	delete(a.target.attempts, a.run)
 	a.target.used = a.target.used.Minus(a.task.step.step.Reserved())
+	a.target.count(a.task.step.step, -1)
 	team := a.task.step.job.doc.Team
 	e.usage[team] = e.usage[team].Minus(a.task.step.step.Needs)
 	kept := a.task.attempts[:0]
@@ -90,7 +104,7 @@
 // and that no list shows. A target that answered a stop never starts that run.
 func (e *Engine) resolveUncertain(now time.Duration) {
 	for _, t := range e.targets {
-		if !t.contactable(now) {
+		if len(t.attempts) == 0 || !t.contactable(now) {
 			continue
 		}
 		for _, a := range t.sortedAttempts() {
--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -90,10 +90,7 @@
 			p.demand.busyMillis += t.used.CPUMillis
 		}
 	}
-	for _, j := range e.jobs {
-		if j.state.Ended() || j.docRemoved {
-			continue
-		}
+	for _, j := range e.active {
 		e.measureJob(j, now)
 	}
 }
@@ -160,8 +157,8 @@
 func (e *Engine) QueueStates(now time.Duration) []QueueState {
 	e.measure(now)
 	waiting := map[string]int{}
-	for _, j := range e.jobs {
-		if !j.started && !j.state.Ended() && !j.docRemoved && !j.doc.Scheduled() {
+	for _, j := range e.active {
+		if !j.started && !j.doc.Scheduled() {
 			waiting[j.doc.Queue]++
 		}
 	}
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -156,6 +156,7 @@
 		j.arrival -= age
 	}
 	e.jobs[doc.ID] = j
+	e.active = append(e.active, j)
 	if progress != nil && progress.State != jobkeeper.StateRefused {
 		j.state = progress.State
 		j.finished = progress.Finished
@@ -218,6 +219,7 @@
 func (e *Engine) endJob(j *job, state jobkeeper.State, reason string, now time.Duration, nowMS int64) {
 	j.state = state
 	j.reason = reason
+	e.active = slices.DeleteFunc(e.active, func(other *job) bool { return other == j })
 	j.endedAt = now
 	j.endedMS = nowMS
 	e.dirty[j.doc.ID] = true
@@ -237,10 +239,7 @@
 
 // openOccurrences creates the occurrences that are due and ends jobs that have none left.
 func (e *Engine) openOccurrences(now time.Duration, wallMS int64) {
-	for _, j := range e.jobs {
-		if j.state.Ended() || j.docRemoved {
-			continue
-		}
+	for _, j := range e.active {
 		for j.opened < j.doc.Occurrences() && j.doc.DueMS(j.opened)-e.cfg.EarlyStart.Milliseconds()/2 <= wallMS {
 			j.open(now, wallMS)
 		}
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -100,6 +100,7 @@
 	cfg       Config
 	conf      Configuration
 	jobs      map[string]*job
+	active    []*job // jobs that have not ended, in the order in which they came
 	targets   map[string]*target
 	pools     map[string]*pool
 	usage     map[string]jobkeeper.Resources // reserved by team
@@ -112,6 +113,7 @@
 	wave      *waves
 	moves     movePlan
 	plannedAt time.Duration
+	sweptAt   time.Duration
 	blocked   bool // tasks may run on targets of the roster that were not listed yet
 	stats     Stats
 }
--- a/pkg/orchestrator/pace.go
+++ b/pkg/orchestrator/pace.go
@@ -19,7 +19,7 @@
 // their targets, and gives the share back step by step.
 func (e *Engine) pace(now time.Duration) {
 	for _, t := range e.targets {
-		if len(t.attempts) == 0 || !t.contactable(now) {
+		if t.filling == 0 || !t.contactable(now) {
 			continue
 		}
 		over, room := t.pressure()
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -16,8 +16,8 @@
 	}
 	e.plannedAt = now
 	works := map[string][]sequencer.Work{}
-	for _, j := range e.sortedJobs() {
-		if j.state.Ended() || j.docRemoved || j.doc.Lasting() {
+	for _, j := range e.active {
+		if j.doc.Lasting() {
 			continue
 		}
 		name := e.poolOf(j)
--- a/pkg/orchestrator/progress.go
+++ b/pkg/orchestrator/progress.go
@@ -45,14 +45,9 @@
 			b.Changes = append(b.Changes, j.change())
 		}
 	}
-	for _, j := range e.jobs {
-		if j.docRemoved && j.endedAt > 0 && now-j.endedAt > e.cfg.Retention {
-			b.Changes = append(b.Changes, Change{
-				Job:     j.doc.ID,
-				Version: j.version,
-				Forget:  true,
-			})
-		}
+	if now-e.sweptAt > sweepInterval {
+		e.sweptAt = now
+		b.Changes = append(b.Changes, e.expired(now)...)
 	}
 	sort.Slice(b.Changes, func(i, k int) bool { return b.Changes[i].Job < b.Changes[k].Job })
 	e.dirty = map[string]bool{}
@@ -66,6 +61,24 @@
 	return b
 }
 
+// sweepInterval separates two looks for jobs whose retention has passed.
+const sweepInterval = time.Second
+
+// expired returns the changes that forget jobs whose retention has passed.
+func (e *Engine) expired(now time.Duration) []Change {
+	var changes []Change
+	for _, j := range e.jobs {
+		if j.docRemoved && now-j.endedAt > e.cfg.Retention {
+			changes = append(changes, Change{
+				Job:     j.doc.ID,
+				Version: j.version,
+				Forget:  true,
+			})
+		}
+	}
+	return changes
+}
+
 func (j *job) change() Change {
 	return Change{
 		Job:            j.doc.ID,
@@ -234,7 +247,7 @@
 	e.blocked = false
 	e.forgetRoster()
 	e.cfg.Logger.Info("takeover complete", "after_ms", (now - e.cfg.AcquiredAt).Milliseconds(), "targets", len(e.targets), "not_listed", len(missing), "jobs", len(e.jobs))
-	for _, j := range e.jobs {
+	for _, j := range e.active {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				for _, t := range s.tasks {
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -38,10 +38,7 @@
 // waitingGroups returns the steps with tasks that could start, by pool.
 func (e *Engine) waitingGroups(now time.Duration) map[string][]group {
 	groups := map[string][]group{}
-	for _, j := range e.sortedJobs() {
-		if j.state.Ended() || j.docRemoved {
-			continue
-		}
+	for _, j := range e.active {
 		name := e.poolOf(j)
 		for number := j.finished; number < j.opened; number++ {
 			o := j.occurrences[number]
@@ -64,17 +61,6 @@
 	return groups
 }
 
-// sortedJobs returns the jobs in the order of their identities, so that equal
-// histories lead to equal decisions.
-func (e *Engine) sortedJobs() []*job {
-	jobs := make([]*job, 0, len(e.jobs))
-	for _, j := range e.jobs {
-		jobs = append(jobs, j)
-	}
-	sort.Slice(jobs, func(i, k int) bool { return jobs[i].doc.ID < jobs[k].doc.ID })
-	return jobs
-}
-
 func (s *stepState) waitingTasks(now time.Duration) []*task {
 	if s.done == len(s.tasks) {
 		return nil
@@ -104,52 +90,81 @@
 	}
 }
 
-// startGroups places the waiting tasks of a pool in order.
+// startGroups places the waiting tasks of a pool in order. All groups share the
+// views of the targets, which change as tasks are placed.
 func (e *Engine) startGroups(p *pool, groups []group, now time.Duration) {
+	views := e.views(p, now)
+	full := misfits{}
 	for _, g := range groups {
-		targets := e.approved(g.step, e.view(p, g.step, now))
-		if len(targets) == 0 {
-			return
+		needs := g.step.step.Reserved()
+		if full.covers(needs) || !e.advised(g.step, p, now) {
+			continue
 		}
+		own := e.viewFor(views, g.step)
+		placed := false
 		if g.step.step.Gang {
-			e.startGang(p, g, targets, now)
-			continue
+			placed = e.startGang(p, g, own, now)
+		} else {
+			placed = e.startTasks(p, g, own, now)
+		}
+		for i := range own {
+			views[i].Used, views[i].Idle, views[i].Filling, views[i].Serving = own[i].Used, own[i].Idle, own[i].Filling, own[i].Serving
+		}
+		if !placed && g.step.plain() {
+			full = append(full, needs)
 		}
-		e.startTasks(p, g, targets, now)
 	}
 }
 
-// startTasks places the tasks of a step one by one.
-func (e *Engine) startTasks(p *pool, g group, views []packer.Target, now time.Duration) {
-	if !e.advised(g.step, p, now) {
-		return
+// misfits are the needs of tasks for which no target had room. A task that needs at
+// least as much has no room either.
+type misfits []jobkeeper.Resources
+
+func (m misfits) covers(needs jobkeeper.Resources) bool {
+	for _, failed := range m {
+		if failed.FitsIn(needs) {
+			return true
+		}
 	}
+	return false
+}
+
+// plain reports whether only room decides where a task of the step can run.
+func (s *stepState) plain() bool {
+	return s.step.PerTarget == 0 && s.step.Label == "" && !s.step.Gang
+}
+
+// startTasks places the tasks of a step one by one. It returns false if one found
+// no room.
+func (e *Engine) startTasks(p *pool, g group, views []packer.Target, now time.Duration) bool {
 	for _, t := range g.waiting {
 		if !e.withinLimit(g.step.job.doc.Team, g.step.step.Needs) {
-			return
+			return true
 		}
 		i := e.choose(g.step, t, views, now)
 		if i < 0 {
-			return
+			return t.avoid != ""
 		}
 		e.launch(t, p.targets[i], e.nextRun(), now)
 		place(&views[i], g.step.step)
 	}
+	return true
 }
 
 // startGang places all tasks of a step or none.
-func (e *Engine) startGang(p *pool, g group, views []packer.Target, now time.Duration) {
+func (e *Engine) startGang(p *pool, g group, views []packer.Target, now time.Duration) bool {
 	step := g.step.step
-	if len(g.waiting) < len(g.step.tasks) || !e.advised(g.step, p, now) ||
-		!e.withinLimit(g.step.job.doc.Team, step.Needs.Times(int64(len(g.waiting)))) {
-		return
+	if len(g.waiting) < len(g.step.tasks) || !e.withinLimit(g.step.job.doc.Team, step.Needs.Times(int64(len(g.waiting)))) {
+		return true
 	}
+	original := append([]packer.Target(nil), views...)
 	chosen := make([]int, 0, len(g.waiting))
 	rack := ""
 	for _, t := range g.waiting {
 		i := packer.Choose(e.request(g.step, rack), e.withoutAvoided(t, views))
 		if i < 0 {
-			return
+			copy(views, original)
+			return false
 		}
 		if step.SameRack {
 			rack = views[i].Rack
@@ -161,6 +176,7 @@
 	for n, t := range g.waiting {
 		e.launch(t, p.targets[chosen[n]], run, now)
 	}
+	return true
 }
 
 func place(v *packer.Target, step *jobkeeper.Step) {
@@ -243,8 +259,8 @@
 // uncertainUsage returns what a team's tasks may use on targets that were not listed yet.
 func (e *Engine) uncertainUsage(team string) jobkeeper.Resources {
 	var sum jobkeeper.Resources
-	for _, j := range e.jobs {
-		if j.doc.Team != team || j.state.Ended() {
+	for _, j := range e.active {
+		if j.doc.Team != team {
 			continue
 		}
 		for _, o := range j.occurrences {
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -45,6 +45,8 @@
 	born        int64
 	attempts    map[uint64]*attempt // by run
 	used        jobkeeper.Resources
+	serving     int // runs whose response times matter
+	filling     int // runs that use what others leave
 	slowdown    float64
 	closedUntil time.Duration // refused for want of room or by a failing target
 	evacuating  bool          // its VM is about to move or to be maintained
@@ -202,11 +204,11 @@
 	return !e.pool(t.Pool).ejector.Ejected(instant(now), t.ID)
 }
 
-// view returns what placement needs to know of a pool's targets for a step.
-func (e *Engine) view(p *pool, s *stepState, now time.Duration) []packer.Target {
+// views returns what placement needs to know of a pool's targets.
+func (e *Engine) views(p *pool, now time.Duration) []packer.Target {
 	views := make([]packer.Target, 0, len(p.targets))
 	for _, t := range p.targets {
-		v := packer.Target{
+		views = append(views, packer.Target{
 			ID:       t.ID,
 			Rack:     t.Rack,
 			Labels:   t.Labels,
@@ -215,22 +217,35 @@
 			Slowdown: t.slowdown,
 			Idle:     len(t.attempts) == 0,
 			Closed:   !e.usable(t, now),
-		}
+			Filling:  t.filling,
+			Serving:  t.serving,
+		})
+	}
+	return views
+}
+
+// viewFor returns the views as a step sees them. They are shared unless the step
+// has conditions of its own.
+func (e *Engine) viewFor(views []packer.Target, s *stepState) []packer.Target {
+	if s.step.PerTarget == 0 && !e.conf.Queues[s.job.doc.Queue].Advised {
+		return views
+	}
+	own := append([]packer.Target(nil), views...)
+	counts := map[string]int{}
+	for _, t := range s.tasks {
 		for _, a := range t.attempts {
-			step := a.task.step.step
-			if a.task.step == s {
-				v.SameStep++
-			}
-			if step.Filling {
-				v.Filling++
-			}
-			if step.TailTargetMS > 0 {
-				v.Serving++
-			}
+			counts[a.target.ID]++
 		}
-		views = append(views, v)
 	}
-	return views
+	for i := range own {
+		own[i].SameStep = counts[own[i].ID]
+	}
+	return e.approved(s, own)
+}
+
+// view returns the views of a pool's targets as a step sees them.
+func (e *Engine) view(p *pool, s *stepState, now time.Duration) []packer.Target {
+	return e.viewFor(e.views(p, now), s)
 }
 
 // Hold returns how to ask a target for its lists now.
