--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -18,7 +18,7 @@
 	waitingJobs   int   // accepted jobs of which no task has started
 	backlogMS     int64 // core-milliseconds of all work that is left
 	usable        int   // targets that may get new work
-	stranded      bool  // a lasting task waits longer than strandedAfter
+	stranded      bool  // a task waits longer than strandedAfter
 	lastingMillis int64 // reserved by lasting tasks, whether they run or wait
 }
 
@@ -120,7 +120,7 @@
 				continue
 			}
 			waiting := int64(len(s.waitingTasks(now))) * s.step.Needs.CPUMillis
-			if s.step.Lasting && waiting > 0 {
+			if waiting > 0 {
 				p.demand.stranded = p.demand.stranded || s.stranded(now)
 			}
 			if j.planned || s.step.Lasting {
@@ -132,8 +132,8 @@
 	}
 }
 
-// strandedAfter is how long a lasting task waits for a place before its pool gets
-// another VM.
+// strandedAfter is how long a task waits for a place before its pool gets another VM,
+// whatever the sum of the gaps.
 const strandedAfter = 400 * time.Millisecond
 
 // stranded reports whether a task of the step waits for long.
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -113,7 +113,7 @@
 	return lack
 }
 
-// strandedLack is the shortage that a lasting task without a place stands for.
+// strandedLack is the shortage that tasks without a place stand for: half a VM.
 const strandedLack = 16000
 
 // fill moves VMs to a pool that lacks so much room and returns how many.
