--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -47,6 +47,8 @@
 	done       int
 	afterMS    int64 // estimated work from the start of this step to the end of the job
 	advice     advice
+	// waitLoggedAt is when the reason of a long wait was last logged.
+	waitLoggedAt time.Duration
 }
 
 // task is a task of a step.
--- a/pkg/orchestrator/orchestrator_test.go
+++ b/pkg/orchestrator/orchestrator_test.go
@@ -217,6 +217,54 @@
 	w.verify()
 }
 
+// The gaps of a pool can add up to more than a task needs while none of them holds it.
+func TestTaskThatFitsNoGapGetsAVM(t *testing.T) {
+	conf := testConfiguration()
+	conf.Pools["spare"] = orchestrator.Pool{
+		Name:  "spare",
+		Spare: true,
+	}
+	w := newWorld(t, conf)
+	for i := range 4 {
+		w.addTarget(fmt.Sprintf("t%d", i), "desk", cores(8))
+	}
+	w.addTarget("s0", "spare", cores(8))
+	w.takeOver()
+	w.run(300 * time.Millisecond)
+	filler := lastingJob("a", 4, 0)
+	filler.Steps[0].Needs = cores(5)
+	w.submit(filler)
+	w.run(500 * time.Millisecond)
+	large := testJob("b", "schools", 300, 1)
+	large.Steps[0].Needs = cores(4)
+	w.submit(large)
+	if !w.runUntil(10*time.Second, func() bool { return w.state("b") == jobkeeper.StateComplete }) {
+		t.Errorf("state is %s, want complete: a spare VM holds the task", w.state("b"))
+	}
+	w.verify()
+}
+
+// Operators may lower a limit below the size of one task.
+func TestTaskLargerThanTheLimitOfItsTeamStillRuns(t *testing.T) {
+	for _, limit := range []int64{1000, 3000} {
+		conf := testConfiguration()
+		conf.Teams["clubs"] = orchestrator.Team{
+			Name: "clubs",
+			Limit: jobkeeper.Resources{
+				CPUMillis: limit,
+			},
+		}
+		w := newWorld(t, conf)
+		w.addTarget("t0", "desk", cores(8))
+		w.takeOver()
+		w.submit(testJob("a", "clubs", 300, 3))
+		if !w.runUntil(5*time.Second, func() bool { return w.state("a") == jobkeeper.StateComplete }) {
+			t.Errorf("limit %d: state is %s, want complete", limit, w.state("a"))
+		}
+		w.verify()
+	}
+}
+
 // TestNothingRunsTwiceUnderFaults plays random faults: targets that can't be
 // reached, crash, restart, answer nothing or fail everything, takeovers, and a
 // store that is away.
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -97,7 +97,12 @@
 	full := misfits{}
 	for _, g := range groups {
 		needs := g.step.step.Reserved()
-		if full.covers(needs) || !e.advised(g.step, p, now) {
+		if full.covers(needs) {
+			e.waits(g, p, waitRoom, now)
+			continue
+		}
+		if !e.advised(g.step, p, now) {
+			e.waits(g, p, waitAdvice, now)
 			continue
 		}
 		own := e.viewFor(views, g.step)
@@ -113,7 +118,34 @@
 		if !placed && g.step.plain() {
 			full = append(full, needs)
 		}
+		if !placed {
+			e.waits(g, p, waitRoom, now)
+		}
+	}
+}
+
+// What a step can wait for.
+const (
+	waitRoom   = "room"
+	waitLimit  = "upper limit"
+	waitAdvice = "advice"
+)
+
+// waitLogAfter is how long a step waits before the reason is logged, and then how
+// long until it is logged again.
+const waitLogAfter = 2 * time.Second
+
+// waits logs why a step does not start.
+func (e *Engine) waits(g group, p *pool, reason string, now time.Duration) {
+	s := g.step
+	if now-max(s.occurrence.due, s.waitLoggedAt) < waitLogAfter {
+		return
 	}
+	s.waitLoggedAt = now
+	team := s.job.doc.Team
+	e.cfg.Logger.Info("job waits", "job", s.job.doc.ID, "step", s.index, "for", reason, "pool", p.name, "targets", len(p.targets), "usable", p.demand.usable,
+		"tasks", len(g.waiting), "needs", s.step.Needs, "planned", s.job.planned, "excess", s.job.excess, "slack_ms", g.candidate.Slack.Milliseconds(),
+		"team", team, "team_used", e.usage[team], "team_limit", e.conf.Teams[team].Limit)
 }
 
 // misfits are the needs of tasks for which no target had room. A task that needs at
@@ -139,6 +171,7 @@
 func (e *Engine) startTasks(p *pool, g group, views []packer.Target, now time.Duration) bool {
 	for _, t := range g.waiting {
 		if !e.withinLimit(g.step.job.doc.Team, g.step.step.Needs) {
+			e.waits(g, p, waitLimit, now)
 			return true
 		}
 		i := e.choose(g.step, t, views, now)
@@ -155,6 +188,7 @@
 func (e *Engine) startGang(p *pool, g group, views []packer.Target, now time.Duration) bool {
 	step := g.step.step
 	if len(g.waiting) < len(g.step.tasks) || !e.withinLimit(g.step.job.doc.Team, step.Needs.Times(int64(len(g.waiting)))) {
+		e.waits(g, p, waitLimit, now)
 		return true
 	}
 	original := append([]packer.Target(nil), views...)
@@ -242,13 +276,19 @@
 	return ""
 }
 
-// withinLimit reports whether the team may have that much more running.
+// withinLimit reports whether the team may have that much more running. A task that
+// is larger than the rest of the limit starts when at most half of it is used;
+// otherwise it would wait until its team has nothing else to do.
 func (e *Engine) withinLimit(team string, needs jobkeeper.Resources) bool {
 	limit := e.conf.Teams[team].Limit
-	used := e.usage[team].Plus(needs)
+	used := e.usage[team]
 	if e.blocked {
 		used = used.Plus(e.uncertainUsage(team))
 	}
+	return fitsLimit(used.Plus(needs), limit) || fitsLimit(used.Times(2), limit)
+}
+
+func fitsLimit(used, limit jobkeeper.Resources) bool {
 	return within(used.CPUMillis, limit.CPUMillis) && within(used.MemoryMB, limit.MemoryMB) && within(used.GPUs, limit.GPUs)
 }
 
