Refuse jobs that can be of no more use when they arrive

The owner reports the expected wait of each queue; the daemon that takes the call refuses a job that would end after three times its objective, and says when to come back, spread by identity. The refusal is stored where acceptance looks, so that it is true also if a write of an earlier attempt arrives late.

Tests: TestHopelessJobsAreRefusedAtOnceAndNeverRun, TestRefusalHoldsAgainstAnEarlierWriteThatArrivesLate.

--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -58,6 +58,7 @@
 	settings  *settings
 	operators *follower
 	queues    *queueBoard
+	refuser   *refuser
 }
 
 func newFront(cfg Config, settings *settings, operators *follower, queues *queueBoard) *Front {
@@ -66,6 +67,10 @@
 		settings:  settings,
 		operators: operators,
 		queues:    queues,
+		refuser: &refuser{
+			cfg:    cfg,
+			queues: queues,
+		},
 	}
 }
 
@@ -154,16 +159,16 @@
 				Reason:  err.Error(),
 			}
 		}
-		transaction, err := f.acceptance(a, job, refusal)
-		if err != nil {
-			return Result{
-				Verdict: VerdictInvalid,
-				Reason:  err.Error(),
-			}
-		}
-		err = f.commit(ctx, call, transaction)
+		retryAfter, hopeless := f.refuser.hopeless(a, job)
+		err := f.settle(ctx, call, a, job, refusal, hopeless)
 		var conflict *storer.ConflictError
 		switch {
+		case err == nil && hopeless:
+			return Result{
+				Verdict:    VerdictNotRun,
+				Reason:     "the queue is too long for this job",
+				RetryAfter: retryAfter,
+			}
 		case err == nil:
 			f.cfg.Logger.Info("job accepted", "job", a.id, "queue", a.route.Queue, "team", a.team, "config_version", a.conf.Version, "steps", len(job.Steps))
 			return Result{
@@ -181,7 +186,8 @@
 			}
 			refusal = version
 		case errors.Is(err, storer.ErrOutcomeUnknown):
-			unknown = true
+			unknown = unknown || !hopeless
+		case errors.Is(err, storer.ErrLeaseNotFound):
 		default:
 			f.cfg.Logger.Warn("job not stored", "job", a.id, "queue", a.route.Queue, "error", err)
 			return settleUnknown(unavailable("store unavailable"), unknown)
@@ -193,6 +199,21 @@
 	return settleUnknown(unavailable("store busy"), unknown)
 }
 
+// settle stores the job or its refusal.
+func (f *Front) settle(ctx context.Context, call Call, a admission, job *jobkeeper.Job, refusal storer.Version, hopeless bool) error {
+	ctx, cancel := f.limit(ctx, call)
+	defer cancel()
+	if hopeless {
+		return f.refuser.refuse(ctx, a, refusal)
+	}
+	transaction, err := f.acceptance(a, job, refusal)
+	if err != nil {
+		return err
+	}
+	_, err = f.cfg.Store.Commit(ctx, transaction)
+	return err
+}
+
 // settleUnknown keeps a refusal from denying an earlier write of the same request
 // whose outcome is unknown.
 func settleUnknown(r Result, unknown bool) Result {
@@ -242,17 +263,18 @@
 	}, nil
 }
 
-func (f *Front) commit(ctx context.Context, call Call, t storer.Transaction) error {
+// limit bounds a call to the store by the time that its caller waits.
+func (f *Front) limit(ctx context.Context, call Call) (context.Context, context.CancelFunc) {
 	timeout := storeTimeout
 	if !call.Deadline.IsZero() {
-		timeout = min(timeout, max(50*time.Millisecond, time.Until(call.Deadline)))
+		timeout = min(timeout, max(minCallTime, time.Until(call.Deadline)))
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	_, err := f.cfg.Store.Commit(ctx, t)
-	return err
+	return context.WithTimeout(ctx, timeout)
 }
 
+// minCallTime is the least time that a call to the store gets.
+const minCallTime = 50 * time.Millisecond
+
 // resolve reports whether a conflict shows that the job is stored already. If it
 // shows an earlier refusal, it returns the refusal's revision.
 func (f *Front) resolve(a admission, conflict *storer.ConflictError) (bool, storer.Version) {
@@ -322,7 +344,7 @@
 func (f *Front) record(ctx context.Context, call Call, a admission) (record, error) {
 	timeout := storeTimeout
 	if !call.Deadline.IsZero() {
-		timeout = min(2*storeTimeout, max(50*time.Millisecond, time.Until(call.Deadline)))
+		timeout = min(2*storeTimeout, max(minCallTime, time.Until(call.Deadline)))
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -414,7 +436,9 @@
 		}
 		r.document = item
 	}
-	return f.commit(ctx, call, storer.Transaction{
+	ctx, cancel := f.limit(ctx, call)
+	defer cancel()
+	_, err := f.cfg.Store.Commit(ctx, storer.Transaction{
 		Conditions: []storer.Condition{{
 			Key:     jobkeeper.DocumentKey(a.id),
 			Version: r.document.Version,
@@ -424,6 +448,7 @@
 			Value: []byte(f.cfg.Name),
 		}},
 	})
+	return err
 }
 
 func unavailable(reason string) Result {
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -97,6 +98,9 @@
 	ended  []orchestrator.End
 	number uint64
 	starts map[string]int
+	began  map[uint64]time.Time
+	// duration is how long a task takes.
+	duration time.Duration
 }
 
 func newTargets() *targets {
@@ -104,6 +108,9 @@
 		start:  time.Now(),
 		runs:   map[uint64]orchestrator.Run{},
 		starts: map[string]int{},
+		began:  map[uint64]time.Time{},
+
+		duration: 300 * time.Millisecond,
 	}
 }
 
@@ -114,11 +121,12 @@
 	defer t.mu.Unlock()
 	if o.Kind == orchestrator.KindStart {
 		t.starts[o.Task.String()]++
+		t.began[o.Run] = time.Now()
 		t.runs[o.Run] = orchestrator.Run{
 			Task: o.Task,
 			Run:  o.Run,
 		}
-		time.AfterFunc(300*time.Millisecond, func() { t.end(o) })
+		time.AfterFunc(t.duration, func() { t.end(o) })
 	}
 	return orchestrator.OutcomeOK, t.clock(), nil
 }
@@ -148,7 +156,8 @@
 		ClockMS: t.clock(),
 		Born:    1,
 	}
-	for _, r := range t.runs {
+	for run, r := range t.runs {
+		r.Percent = int(100 * time.Since(t.began[run]) / t.duration)
 		l.Running = append(l.Running, r)
 	}
 	kept := t.ended[:0]
@@ -489,3 +498,95 @@
 		}
 	})
 }
+
+// A queue asks for far more than its pool holds. What can be of no more use is turned
+// away at once, says when to come back, and does not run; a repeat is accepted once
+// the backlog has gone.
+func TestHopelessJobsAreRefusedAtOnceAndNeverRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newInstallation(t)
+		i.targets.duration = 3 * time.Second
+		m, stop := i.start("a")
+		defer stop()
+		time.Sleep(time.Second)
+		job := func() *jobkeeper.Job {
+			j := smallJob()
+			j.Steps[0].EstimateMS = 3000
+			return j
+		}
+		refused := map[string]bool{}
+		for n := range 60 {
+			id := fmt.Sprintf("j%d", n)
+			began := time.Now()
+			r := m.Front().Submit(t.Context(), call("k1", id, job()))
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("%s was answered after %v", id, took)
+			}
+			switch r.Verdict {
+			case manager.VerdictNotRun:
+				refused[id] = true
+				if r.RetryAfter <= 0 {
+					t.Errorf("%s is refused without a time to come back", id)
+				}
+			case manager.VerdictOK:
+			default:
+				t.Errorf("%s gets %s (%s)", id, r.Verdict, r.Reason)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if len(refused) < 10 || len(refused) > 45 {
+			t.Errorf("%d of 60 jobs were refused; 22 jobs end within the time that is of use", len(refused))
+		}
+		time.Sleep(40 * time.Second)
+		for task := range i.targets.starts {
+			if id, _, _ := strings.Cut(task, "."); refused[id] {
+				t.Errorf("%s was refused and ran", id)
+			}
+		}
+		for id := range refused {
+			if r := m.Front().Submit(t.Context(), call("k1", id, job())); r.Verdict != manager.VerdictOK {
+				t.Errorf("a repeat of %s without a backlog gets %s, want ok", id, r.Verdict)
+			}
+			break
+		}
+	})
+}
+
+// A refusal is written where acceptance looks, so that a write of an earlier attempt
+// that arrives late finds it.
+func TestRefusalHoldsAgainstAnEarlierWriteThatArrivesLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newInstallation(t)
+		i.targets.duration = 10 * time.Second
+		m, stop := i.start("a")
+		defer stop()
+		time.Sleep(time.Second)
+		var late []storer.Transaction
+		hold := func(call string, tx storer.Transaction) (before, after error) {
+			if call == "commit" && len(tx.Puts) > 0 && tx.Puts[0].Key == jobkeeper.DocumentKey("x") {
+				late = append(late, tx)
+				return storer.ErrOutcomeUnknown, nil
+			}
+			return nil, nil
+		}
+		i.store.set(hold)
+		if r := m.Front().Submit(t.Context(), call("k1", "x", smallJob())); r.Verdict != manager.VerdictUnknown {
+			t.Fatalf("verdict is %s, want outcome_unknown", r.Verdict)
+		}
+		i.store.set(nil)
+		for n := range 40 {
+			j := smallJob()
+			j.Steps[0].EstimateMS = 10_000
+			m.Front().Submit(t.Context(), call("k1", fmt.Sprintf("j%d", n), j))
+		}
+		time.Sleep(time.Second)
+		if r := m.Front().Submit(t.Context(), call("k1", "x", smallJob())); r.Verdict != manager.VerdictNotRun {
+			t.Fatalf("verdict is %s, want not_run", r.Verdict)
+		}
+		for _, tx := range late {
+			if _, err := i.store.Memory.Commit(t.Context(), tx); !errors.Is(err, storer.ErrConflict) {
+				t.Errorf("a late write gets %v, want a conflict", err)
+			}
+		}
+	})
+}
--- a/pkg/jobkeeper/job.go
+++ b/pkg/jobkeeper/job.go
@@ -140,6 +140,28 @@
 	return sum
 }
 
+// Chains returns for each step the longest chain of estimates, in ms, from its start
+// to the end of the job.
+func (j *Job) Chains() []int64 {
+	after := make([]int64, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		after[i] += j.Steps[i].EstimateMS
+		for _, before := range j.Steps[i].After {
+			after[before] = max(after[before], after[i])
+		}
+	}
+	return after
+}
+
+// Chain returns the longest chain of estimates of the job, in ms.
+func (j *Job) Chain() int64 {
+	var longest int64
+	for _, ms := range j.Chains() {
+		longest = max(longest, ms)
+	}
+	return longest
+}
+
 // Validate returns an error that names the first field that is out of bounds.
 func (j *Job) Validate() error {
 	switch {
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -152,7 +152,7 @@
 		state:       jobkeeper.StateQueued,
 		occurrences: map[int]*occurrence{},
 		version:     version,
-		chainMS:     longestChain(doc),
+		chainMS:     doc.Chain(),
 	}
 	if age := time.Duration(nowMS-doc.AcceptedMS) * time.Millisecond; age > 0 && age < maxJobAge {
 		j.arrival -= age
@@ -257,7 +257,7 @@
 	if j.doc.Scheduled() {
 		o.due = now + time.Duration(j.doc.DueMS(j.opened)-wallMS)*time.Millisecond
 	}
-	after := remainingChains(j.doc)
+	after := j.doc.Chains()
 	for i := range j.doc.Steps {
 		s := &stepState{
 			job:        j,
@@ -320,32 +320,9 @@
 	return o.steps[key.Step].tasks[key.Index]
 }
 
-// remainingChains returns for each step the longest chain of estimates from its
-// start to the end of the job.
-func remainingChains(doc *jobkeeper.Job) []int64 {
-	after := make([]int64, len(doc.Steps))
-	for i := len(doc.Steps) - 1; i >= 0; i-- {
-		after[i] = max(after[i], 0) + doc.Steps[i].EstimateMS
-		for _, before := range doc.Steps[i].After {
-			after[before] = max(after[before], after[i])
-		}
-	}
-	return after
-}
-
-func longestChain(doc *jobkeeper.Job) int64 {
-	var longest int64
-	for _, ms := range remainingChains(doc) {
-		longest = max(longest, ms)
-	}
-	return longest
-}
-
 // objective returns the time within which a job should end.
 func (e *Engine) objective(j *job) time.Duration {
-	q := e.conf.Queues[j.doc.Queue]
-	stretch := max(1, q.StretchFactor)
-	return time.Duration(stretch*float64(j.chainMS))*time.Millisecond + q.TargetLatency
+	return e.conf.Queues[j.doc.Queue].Objective(time.Duration(j.chainMS) * time.Millisecond)
 }
 
 // poolOf returns the pool that runs the job: the queue's present pool, or the one
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -35,6 +35,12 @@
 	Advice        time.Duration // validity of a ticket of the adviser
 }
 
+// Objective returns the time within which a job with the given longest chain of work
+// should end.
+func (q Queue) Objective(chain time.Duration) time.Duration {
+	return time.Duration(max(1, q.StretchFactor)*float64(chain)) + q.TargetLatency
+}
+
 // Team is what the configuration says of a team.
 type Team struct {
 	Name   string
