Serve metrics of jobs, orders, pools and store calls

Cause: the adapter served none. Counters and histograms in one table, from which the operators' page is produced; the owner adds gauges of its pools.

--- a/internal/commander/reference.go
+++ b/internal/commander/reference.go
@@ -31,9 +31,10 @@
 // references returns the generated parts by the name in their marker comments.
 func references() map[string]func() string {
 	return map[string]func() string{
-		"commands": commandReference,
-		"metrics":  recorder.Reference,
-		"settings": loader.Reference,
+		"commands":    commandReference,
+		"job_metrics": recorder.JobReference,
+		"metrics":     recorder.Reference,
+		"settings":    loader.Reference,
 	}
 }
 
--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -139,6 +139,20 @@
 
 // Submit accepts a job if it is stored, or was stored before.
 func (f *Front) Submit(ctx context.Context, call Call) Result {
+	return f.measure("submit", func() Result { return f.submit(ctx, call) })
+}
+
+// measure records the time and the verdict of a call.
+func (f *Front) measure(name string, answer func() Result) Result {
+	began := time.Now()
+	result := answer()
+	if f.cfg.Recorder != nil {
+		f.cfg.Recorder.JobRequest(name, string(result.Verdict), time.Since(began))
+	}
+	return result
+}
+
+func (f *Front) submit(ctx context.Context, call Call) Result {
 	var refusal storer.Version // revision of an earlier refusal of the identity
 	unknown := false
 	for range commitAttempts {
@@ -299,6 +313,10 @@
 
 // State returns the state of a job.
 func (f *Front) State(ctx context.Context, call Call) Result {
+	return f.measure("state", func() Result { return f.state(ctx, call) })
+}
+
+func (f *Front) state(ctx context.Context, call Call) Result {
 	a, result := f.admit(call)
 	if result.Verdict != VerdictOK {
 		return result
@@ -394,6 +412,10 @@
 
 // Cancel ends a job. The answer is ok once the request is stored, or the job has ended.
 func (f *Front) Cancel(ctx context.Context, call Call) Result {
+	return f.measure("cancel", func() Result { return f.cancel(ctx, call) })
+}
+
+func (f *Front) cancel(ctx context.Context, call Call) Result {
 	for range commitAttempts {
 		a, result := f.admit(call)
 		if result.Verdict != VerdictOK {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 
+	"github.com/comfreyford/comfreyford/internal/recorder"
 	"github.com/comfreyford/comfreyford/internal/supervisor"
 	"github.com/comfreyford/comfreyford/pkg/elector"
 	"github.com/comfreyford/comfreyford/pkg/orchestrator"
@@ -85,6 +86,8 @@
 	Clock  func() time.Duration
 	Wall   func() int64
 	Bounds Bounds
+	// Recorder takes the metrics; nil for none.
+	Recorder *recorder.Recorder
 	// First is true if no owner can have come before.
 	First bool
 }
@@ -127,6 +130,7 @@
 	queues    *queueBoard
 	board     *follower
 	front     *Front
+	leading   leader
 
 	mu       sync.Mutex
 	draining bool
@@ -135,6 +139,12 @@
 
 // New returns a Manager.
 func New(cfg Config) *Manager {
+	if cfg.Recorder != nil {
+		cfg.Store = &measuredStore{
+			TransactionalStore: cfg.Store,
+			recorder:           cfg.Recorder,
+		}
+	}
 	m := &Manager{
 		cfg:      cfg,
 		settings: newSettings(cfg),
@@ -243,6 +253,8 @@
 // lead owns the fleet until ctx ends.
 func (m *Manager) lead(ctx context.Context, term elector.Term) {
 	o := newOwner(m.cfg, m.settings, m.operators, term)
+	m.leading.Store(o)
+	defer m.leading.Store(nil)
 	if err := o.run(ctx); err != nil {
 		m.cfg.Logger.Warn("owner gives up", "fence", uint64(term.Fence), "error", err)
 	}
--- /dev/null
+++ b/internal/manager/metrics.go
@@ -0,0 +1,138 @@
+package manager
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/comfreyford/comfreyford/internal/recorder"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// Observe registers the gauges of a daemon.
+func (m *Manager) Observe(r *recorder.Recorder) error {
+	one := func(value func() float64) func() []recorder.Sample {
+		return func() []recorder.Sample {
+			return []recorder.Sample{{
+				Value: value(),
+			}}
+		}
+	}
+	return errors.Join(
+		r.Observe(recorder.Owner, one(func() float64 {
+			if m.leading.Load() != nil {
+				return 1
+			}
+			return 0
+		})),
+		r.Observe(recorder.KnowledgeAge, one(func() float64 { return m.operators.age().Seconds() })),
+		r.Observe(recorder.ConfigVersion, one(func() float64 {
+			if c := m.settings.current(); c != nil {
+				return float64(c.Version)
+			}
+			return 0
+		})),
+		r.Observe(recorder.PoolTargets, func() []recorder.Sample { return m.poolSamples(false) }),
+		r.Observe(recorder.PoolCores, func() []recorder.Sample { return m.poolSamples(true) }),
+	)
+}
+
+// poolSamples returns the figures of the pools; none on daemons that are not the owner.
+func (m *Manager) poolSamples(cores bool) []recorder.Sample {
+	o := m.leading.Load()
+	if o == nil {
+		return nil
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.engine == nil {
+		return nil
+	}
+	var samples []recorder.Sample
+	for _, p := range o.engine.PoolStates(o.cfg.Clock()) {
+		pool := attribute.String("pool", p.Pool)
+		if !cores {
+			samples = append(samples, recorder.Sample{
+				Value:  float64(p.Usable),
+				Labels: []attribute.KeyValue{pool},
+			})
+			continue
+		}
+		for _, part := range []struct {
+			name   string
+			millis int64
+		}{
+			{"capacity", p.Capacity},
+			{"busy", p.Busy},
+			{"waiting", p.Waiting},
+			{"late", p.Late},
+			{"offered", p.Offered},
+		} {
+			samples = append(samples, recorder.Sample{
+				Value:  float64(part.millis) / 1000,
+				Labels: []attribute.KeyValue{pool, attribute.String("part", part.name)},
+			})
+		}
+	}
+	return samples
+}
+
+// leader is the owner of a daemon that leads, for metrics.
+type leader = atomic.Pointer[owner]
+
+// measuredStore records the time of each call to the store.
+type measuredStore struct {
+	storer.TransactionalStore
+	recorder *recorder.Recorder
+}
+
+// Read implements storer.TransactionalStore.
+func (s *measuredStore) Read(ctx context.Context, key string) (i storer.Item, err error) {
+	defer s.measure("read", time.Now(), &err)
+	return s.TransactionalStore.Read(ctx, key)
+}
+
+// Scan implements storer.TransactionalStore.
+func (s *measuredStore) Scan(ctx context.Context, prefix string) (l storer.Listing, err error) {
+	defer s.measure("scan", time.Now(), &err)
+	return s.TransactionalStore.Scan(ctx, prefix)
+}
+
+// Follow implements storer.TransactionalStore.
+func (s *measuredStore) Follow(ctx context.Context, prefix string, after storer.Version, wait time.Duration) (c storer.Changes, err error) {
+	defer s.measure("follow", time.Now(), &err)
+	return s.TransactionalStore.Follow(ctx, prefix, after, wait)
+}
+
+// Commit implements storer.TransactionalStore.
+func (s *measuredStore) Commit(ctx context.Context, t storer.Transaction) (v storer.Version, err error) {
+	defer s.measure("commit", time.Now(), &err)
+	return s.TransactionalStore.Commit(ctx, t)
+}
+
+// Renew implements storer.TransactionalStore.
+func (s *measuredStore) Renew(ctx context.Context, id storer.LeaseID) (err error) {
+	defer s.measure("renew", time.Now(), &err)
+	return s.TransactionalStore.Renew(ctx, id)
+}
+
+func (s *measuredStore) measure(call string, began time.Time, err *error) {
+	s.recorder.StoreDuration(call, resultOf(err), time.Since(began))
+}
+
+func resultOf(err *error) string {
+	switch {
+	case err == nil || *err == nil:
+		return "ok"
+	case errors.Is(*err, storer.ErrConflict):
+		return "conflict"
+	case errors.Is(*err, storer.ErrOutcomeUnknown):
+		return "outcome_unknown"
+	case errors.Is(*err, storer.ErrHistoryLost):
+		return "history_lost"
+	}
+	return "unavailable"
+}
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -152,8 +152,13 @@
 		return err
 	}
 	b := o.cfg.Bounds
-	o.engine = orchestrator.New(orchestrator.Config{
+	var observer orchestrator.Observer
+	if o.cfg.Recorder != nil {
+		observer = o.cfg.Recorder
+	}
+	engine := orchestrator.New(orchestrator.Config{
 		Logger:             o.logger,
+		Observer:           observer,
 		Fence:              o.term.Fence,
 		AcquiredAt:         o.term.AcquiredAt,
 		Hold:               min(holdTime, b.MaxHold-holdReserve),
@@ -170,6 +175,9 @@
 		Roster:             roster,
 		First:              len(roster) == 0,
 	})
+	o.mu.Lock()
+	o.engine = engine
+	o.mu.Unlock()
 	now, wall := o.cfg.Clock(), o.cfg.Wall()
 	for id, r := range o.records {
 		if r.progress.State.Ended() {
--- /dev/null
+++ b/internal/recorder/jobs.go
@@ -0,0 +1,225 @@
+package recorder
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+)
+
+// Names of the metrics of daemons that manage jobs.
+const (
+	JobRequests     = "comfreyford_job_requests"
+	JobRequestTime  = "comfreyford_job_request_duration"
+	JobWait         = "comfreyford_job_wait"
+	JobDuration     = "comfreyford_job_duration"
+	TaskOrders      = "comfreyford_task_orders"
+	TaskEnds        = "comfreyford_task_ends"
+	VMOrders        = "comfreyford_vm_orders"
+	StoreTime       = "comfreyford_store_call_duration"
+	Owner           = "comfreyford_owner"
+	KnowledgeAge    = "comfreyford_store_knowledge_age"
+	PoolTargets     = "comfreyford_pool_targets"
+	PoolCores       = "comfreyford_pool_cores"
+	ConfigVersion   = "comfreyford_configuration_version"
+	unlabelledValue = "none"
+)
+
+// JobTable returns the metrics of daemons that manage jobs, in the order of the page
+// for operators.
+func JobTable() []Metric {
+	return []Metric{
+		{
+			Name:   JobRequests,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "call, verdict",
+			Help:   "answered calls of callers: submit, state or cancel",
+		},
+		{
+			Name:   JobRequestTime,
+			Kind:   KindHistogram,
+			Unit:   "s",
+			Labels: "call, verdict",
+			Help:   "time to answer a call, with its calls to the store",
+		},
+		{
+			Name:   JobWait,
+			Kind:   KindHistogram,
+			Unit:   "s",
+			Labels: "queue, team",
+			Help:   "time from acceptance to the order for the first task; on the owner",
+		},
+		{
+			Name:   JobDuration,
+			Kind:   KindHistogram,
+			Unit:   "s",
+			Labels: "queue, team, state",
+			Help:   "time from acceptance to the end of a job; on the owner",
+		},
+		{
+			Name:   TaskOrders,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "kind, outcome",
+			Help:   "orders to targets: start, stop or pace; on the owner",
+		},
+		{
+			Name:   TaskEnds,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "pool, how",
+			Help:   "runs that ended, as targets list them; on the owner",
+		},
+		{
+			Name:   VMOrders,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "kind, outcome",
+			Help:   "orders to the platform's service for VMs: move or upkeep; on the owner",
+		},
+		{
+			Name:   StoreTime,
+			Kind:   KindHistogram,
+			Unit:   "s",
+			Labels: "call, result",
+			Help:   "time of calls to the store, waits for changes included",
+		},
+		{
+			Name: Owner,
+			Kind: KindGauge,
+			Unit: "1",
+			Help: "1 on the daemon that owns the fleet, 0 on others",
+		},
+		{
+			Name: KnowledgeAge,
+			Kind: KindGauge,
+			Unit: "s",
+			Help: "age of the last successful call for the operators' keys; above 1.5 s nothing is refused because of them",
+		},
+		{
+			Name: ConfigVersion,
+			Kind: KindGauge,
+			Unit: "1",
+			Help: "version of the configuration in force here",
+		},
+		{
+			Name:   PoolTargets,
+			Kind:   KindGauge,
+			Unit:   "1",
+			Labels: "pool",
+			Help:   "targets of a pool that take new work; on the owner",
+		},
+		{
+			Name:   PoolCores,
+			Kind:   KindGauge,
+			Unit:   "1",
+			Labels: "pool, part",
+			Help:   "cores of a pool: capacity, busy, waiting for by work on time, late, offered; on the owner",
+		},
+	}
+}
+
+// NewForJobs returns a Recorder with the instruments of JobTable.
+func NewForJobs() (*Recorder, error) { return newRecorder(JobTable()) }
+
+// labelSet is the set of labels of a series with up to three labels.
+type labelSet struct {
+	key1, value1, key2, value2, key3, value3 string
+}
+
+func (l labelSet) attributes() []attribute.KeyValue {
+	var list []attribute.KeyValue
+	for _, p := range [][2]string{{l.key1, l.value1}, {l.key2, l.value2}, {l.key3, l.value3}} {
+		if p[0] == "" {
+			continue
+		}
+		value := p[1]
+		if value == "" {
+			value = unlabelledValue
+		}
+		list = append(list, attribute.String(p[0], value))
+	}
+	return list
+}
+
+// JobRequest records an answered call of a caller.
+func (r *Recorder) JobRequest(call, verdict string, took time.Duration) {
+	l := labelSet{
+		key1:   "call",
+		value1: call,
+		key2:   "verdict",
+		value2: verdict,
+	}
+	r.add(JobRequests, l)
+	r.record(JobRequestTime, l, took)
+}
+
+// JobStarted records how long a job waited for its first task.
+func (r *Recorder) JobStarted(queue, team string, wait time.Duration) {
+	r.record(JobWait, labelSet{
+		key1:   "queue",
+		value1: queue,
+		key2:   "team",
+		value2: team,
+	}, wait)
+}
+
+// JobEnded records the end of a job.
+func (r *Recorder) JobEnded(queue, team, state string, took time.Duration) {
+	r.record(JobDuration, labelSet{
+		key1:   "queue",
+		value1: queue,
+		key2:   "team",
+		value2: team,
+		key3:   "state",
+		value3: state,
+	}, took)
+}
+
+// TaskOrder counts an order to a target.
+func (r *Recorder) TaskOrder(kind, outcome string) {
+	r.add(TaskOrders, kindOutcome(kind, outcome))
+}
+
+// VMOrder counts an order for a VM.
+func (r *Recorder) VMOrder(kind, outcome string) {
+	r.add(VMOrders, kindOutcome(kind, outcome))
+}
+
+func kindOutcome(kind, outcome string) labelSet {
+	return labelSet{
+		key1:   "kind",
+		value1: kind,
+		key2:   "outcome",
+		value2: outcome,
+	}
+}
+
+// TaskEnd counts a run that ended.
+func (r *Recorder) TaskEnd(pool, how string) {
+	r.add(TaskEnds, labelSet{
+		key1:   "pool",
+		value1: pool,
+		key2:   "how",
+		value2: how,
+	})
+}
+
+// StoreDuration records a call to the store.
+func (r *Recorder) StoreDuration(call, result string, took time.Duration) {
+	r.record(StoreTime, labelSet{
+		key1:   "call",
+		value1: call,
+		key2:   "result",
+		value2: result,
+	}, took)
+}
+
+func (r *Recorder) add(name string, l labelSet) {
+	r.counters[name].Add(context.Background(), 1, r.set(l))
+}
+
+func (r *Recorder) record(name string, l labelSet, d time.Duration) {
+	r.histograms[name].Record(context.Background(), d.Seconds(), r.set(l))
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -50,7 +50,9 @@
 }
 
 // New returns a Recorder with the instruments of Table.
-func New() (*Recorder, error) {
+func New() (*Recorder, error) { return newRecorder(Table()) }
+
+func newRecorder(table []Metric) (*Recorder, error) {
 	registry := prometheus.NewRegistry()
 	exporter, err := otelprometheus.New(
 		otelprometheus.WithRegisterer(registry),
@@ -68,7 +70,7 @@
 		counters:   map[string]metric.Int64Counter{},
 		sets:       map[any]metric.MeasurementOption{},
 	}
-	for _, m := range Table() {
+	for _, m := range table {
 		if err := r.register(m); err != nil {
 			return nil, err
 		}
@@ -234,6 +236,8 @@
 		add("class", k.Class)
 		add("outcome", k.Outcome)
 		add("reason", k.Reason)
+	case labelSet:
+		return k.attributes()
 	case pair:
 		add(k.key1, k.value1)
 		add(k.key2, k.value2)
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -5,6 +5,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
 )
 
 // Guards against metrics that the page for operators names and the daemon does not serve.
@@ -48,3 +51,37 @@
 		t.Error("the page has no histogram for the team")
 	}
 }
+
+func TestJobMetricsPageNamesEveryMetric(t *testing.T) {
+	r, err := NewForJobs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.JobRequest("submit", "ok", time.Millisecond)
+	r.JobStarted("quotes", "schools", time.Millisecond)
+	r.JobEnded("quotes", "", "complete", time.Second)
+	r.TaskOrder("start", "ok")
+	r.TaskEnd("desk", "done")
+	r.VMOrder("move", "ok")
+	r.StoreDuration("commit", "ok", time.Millisecond)
+	for _, m := range JobTable() {
+		if m.Kind != KindGauge {
+			continue
+		}
+		if err := r.Observe(m.Name, func() []Sample { return []Sample{{Value: 1}} }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w := httptest.NewRecorder()
+	r.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(w.Body)
+	if err != nil {
+		t.Fatalf("the page does not parse: %v", err)
+	}
+	for _, m := range JobTable() {
+		if families[m.Exposed()] == nil {
+			t.Errorf("the page lacks %s", m.Exposed())
+		}
+	}
+}
--- a/internal/recorder/table.go
+++ b/internal/recorder/table.go
@@ -181,10 +181,15 @@
 }
 
 // Reference returns the table of metrics in markdown.
-func Reference() string {
+func Reference() string { return reference(Table()) }
+
+// JobReference returns the table of metrics of daemons that manage jobs in markdown.
+func JobReference() string { return reference(JobTable()) }
+
+func reference(table []Metric) string {
 	var b strings.Builder
 	b.WriteString("| Metric | Kind | Unit | Labels | Meaning |\n|---|---|---|---|---|\n")
-	for _, m := range Table() {
+	for _, m := range table {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", m.Exposed(), m.Kind, m.Unit, cmp.Or(m.Labels, "none"), m.Help)
 	}
 	return b.String()
--- a/pkg/orchestrator/attempt.go
+++ b/pkg/orchestrator/attempt.go
@@ -150,6 +150,7 @@
 
 // Answered takes the answer to an order into account.
 func (e *Engine) Answered(answer Answer, now time.Duration) {
+	e.observe(answer)
 	switch answer.Order.Kind {
 	case KindStart:
 		e.startAnswered(answer, now)
@@ -162,6 +163,15 @@
 	}
 }
 
+func (e *Engine) observe(answer Answer) {
+	kind, outcome := string(answer.Order.Kind), string(answer.Outcome)
+	if answer.Order.Kind == KindMove || answer.Order.Kind == KindServe {
+		e.cfg.Observer.VMOrder(kind, outcome)
+		return
+	}
+	e.cfg.Observer.TaskOrder(kind, outcome)
+}
+
 func (e *Engine) startAnswered(answer Answer, now time.Duration) {
 	t := e.targets[answer.Order.Target.ID]
 	if t == nil {
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -225,6 +225,7 @@
 	j.endedAt = now
 	j.endedMS = nowMS
 	e.dirty[j.doc.ID] = true
+	e.cfg.Observer.JobEnded(j.doc.Queue, j.doc.Team, string(state), now-j.arrival)
 	e.cfg.Logger.Info("job ended", "job", j.doc.ID, "queue", j.doc.Queue, "state", state, "reason", reason,
 		"took_ms", (now - j.arrival).Milliseconds(), "objective_ms", e.objective(j).Milliseconds())
 	for _, o := range j.occurrences {
--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -128,6 +128,7 @@
 		return
 	}
 	t.seen = end.Number
+	e.cfg.Observer.TaskEnd(t.Pool, string(end.How))
 	a := t.attempts[end.Run]
 	if a != nil && a.task.id() != end.Task {
 		a = nil
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -64,6 +64,8 @@
 // Config configures an Engine.
 type Config struct {
 	Logger hclog.Logger
+	// Observer is told what happens; nil for nobody.
+	Observer Observer
 	// Fence is the fencing token of this ownership.
 	Fence storer.Version
 	// AcquiredAt is the time at which ownership was acquired.
@@ -152,6 +154,9 @@
 		blocked: !cfg.First,
 	}
 	e.roster = newRoster(cfg.Roster)
+	if e.cfg.Observer == nil {
+		e.cfg.Observer = silent{}
+	}
 	return e
 }
 
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -336,6 +336,7 @@
 			j.state = jobkeeper.StateRunning
 			e.dirty[j.doc.ID] = true
 		}
+		e.cfg.Observer.JobStarted(j.doc.Queue, j.doc.Team, now-t.step.occurrence.due)
 		e.cfg.Logger.Info("job started", "job", j.doc.ID, "queue", j.doc.Queue, "waited_ms", (now - t.step.occurrence.due).Milliseconds(), "target", on.ID)
 	}
 	e.stats.Starts++
