--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -88,6 +88,8 @@
 	Bounds Bounds
 	// Recorder takes the metrics; nil for none.
 	Recorder *recorder.Recorder
+	// Handicap delays this daemon's attempts to become the owner.
+	Handicap time.Duration
 	// First is true if no owner can have come before.
 	First bool
 }
@@ -106,6 +108,7 @@
 	DutyLease          time.Duration // time that separates orders of two holders for VMs
 	ConfigApply        time.Duration // time in which a configuration has to be in force
 	MinLease           time.Duration // shortest lease of the store
+	VMOrdersPerSecond  float64       // rate at which the platform takes orders for VMs; zero if not stated
 }
 
 // Times of the daemon.
@@ -114,9 +117,9 @@
 	ownerTTL = 1500 * time.Millisecond
 	// storeTimeout bounds a call to the store; a slow store answers in a quarter of a second.
 	storeTimeout = 700 * time.Millisecond
-	// holdTime is the lease asked for at targets. It outlasts a takeover and short
-	// outages of the store, and bounds how long the tasks of a lost target block.
-	holdTime = 4500 * time.Millisecond
+	// holdTime is the lease asked for at targets. It outlasts a takeover and an outage
+	// of the store of four seconds, and bounds how long the tasks of a cut target block.
+	holdTime = 5500 * time.Millisecond
 	// staleAfter is the age at which knowledge of the store no longer justifies new
 	// starts or refusals.
 	staleAfter = 1500 * time.Millisecond
@@ -241,6 +244,7 @@
 		Name:        m.cfg.Name,
 		TTL:         max(ownerTTL, m.cfg.Bounds.MinLease),
 		Clock:       m.cfg.Clock,
+		Handicap:    m.cfg.Handicap,
 		CallTimeout: storeTimeout,
 	})
 	if err := e.Run(ctx, m.lead); err != nil {
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -18,7 +18,7 @@
 	tickInterval = 100 * time.Millisecond
 	// tickPause is the shortest time between two decisions: what arrives together
 	// is decided together.
-	tickPause = 4 * time.Millisecond
+	tickPause = 6 * time.Millisecond
 	// intakePause separates two reads of new jobs.
 	intakePause = 10 * time.Millisecond
 	// targetsPause separates two reads of registrations; heartbeats make them change often.
@@ -172,6 +172,7 @@
 		AwayNotice:         b.AwayNotice,
 		Retention:          b.Retention + retentionReserve,
 		DutyDelay:          o.dutyDelay(),
+		VMOrdersPerSecond:  b.VMOrdersPerSecond,
 		Roster:             roster,
 		First:              len(roster) == 0,
 	})
--- a/internal/manager/refuser.go
+++ b/internal/manager/refuser.go
@@ -117,6 +117,6 @@
 // spread returns a figure in [0, 1) that depends on the identity alone.
 func spread(id string) float64 {
 	h := fnv.New32a()
-	h.Write([]byte(id)) //nolint:errcheck // never fails
+	h.Write([]byte(id))
 	return float64(h.Sum32()) / (1 << 32)
 }
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -43,6 +43,8 @@
 	Name   string        // written as the owner
 	TTL    time.Duration // lease asked for
 	Clock  func() time.Duration
+	// Handicap delays this daemon's attempts, so that daemons on stronger VMs win.
+	Handicap time.Duration
 	// CallTimeout bounds a call to the store.
 	CallTimeout time.Duration
 }
@@ -72,6 +74,7 @@
 // Run competes until ctx is done. While this daemon is the owner, it calls lead with
 // a context that ends when the right does.
 func (e *Elector) Run(ctx context.Context, lead func(ctx context.Context, term Term)) error {
+	waited := false // for daemons on stronger VMs, since the vacancy was seen
 	for ctx.Err() == nil {
 		owner, revision, err := e.owner(ctx)
 		if err != nil {
@@ -86,9 +89,16 @@
 			continue
 		}
 		if owner.Version != 0 {
+			waited = false
 			e.awaitVacancy(ctx, revision)
 			continue
 		}
+		if !waited {
+			waited = true
+			sleeper.Sleep(ctx, e.cfg.Handicap+jitter())
+			continue
+		}
+		waited = false
 		if err := e.compete(ctx, lead); err != nil && ctx.Err() == nil {
 			e.cfg.Logger.Info("ownership not acquired", "error", err)
 			sleeper.Sleep(ctx, retryDelay+jitter())
@@ -123,7 +133,6 @@
 			return
 		}
 		if len(changes.Events) > 0 {
-			sleeper.Sleep(ctx, jitter())
 			return
 		}
 		revision = changes.Revision
--- a/pkg/orchestrator/attempt.go
+++ b/pkg/orchestrator/attempt.go
@@ -104,7 +104,7 @@
 // and that no list shows. A target that answered a stop never starts that run.
 func (e *Engine) resolveUncertain(now time.Duration) {
 	for _, t := range e.targets {
-		if len(t.attempts) == 0 || !t.contactable(now) {
+		if !t.unsettled() || !t.contactable(now) {
 			continue
 		}
 		for _, a := range t.sortedAttempts() {
@@ -118,6 +118,16 @@
 	}
 }
 
+// unsettled reports whether a start or a stop on the target has no known outcome.
+func (t *target) unsettled() bool {
+	for _, a := range t.attempts {
+		if a.phase == phaseUncertain || a.phase == phaseStopping {
+			return true
+		}
+	}
+	return false
+}
+
 // stopStuck stops runs that make no progress, so that they start elsewhere.
 func (e *Engine) stopStuck(now time.Duration) {
 	for _, t := range e.targets {
@@ -173,6 +183,7 @@
 }
 
 func (e *Engine) startAnswered(answer Answer, now time.Duration) {
+	e.unanswered = max(0, e.unanswered-1)
 	t := e.targets[answer.Order.Target.ID]
 	if t == nil {
 		return
--- /dev/null
+++ b/pkg/orchestrator/benchmark_test.go
@@ -0,0 +1,40 @@
+package orchestrator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkTick measures one decision at the size of the grown deployment: 350 targets
+// in one pool, and a backlog of jobs that it can't hold.
+func BenchmarkTick(b *testing.B) {
+	for _, jobs := range []int{50, 500, 1500} {
+		for _, blocked := range []bool{false, true} {
+			b.Run(fmt.Sprintf("jobs %d, blocked %v", jobs, blocked), func(b *testing.B) {
+				w := newWorld(b, testConfiguration())
+				for i := range 350 {
+					w.addTarget(fmt.Sprintf("t%03d", i), "desk", cores(8))
+				}
+				w.takeOver()
+				w.run(300 * time.Millisecond)
+				for i := range jobs {
+					w.submit(testJob(fmt.Sprintf("j%04d", i), "schools", 60_000, 8, 8))
+				}
+				w.run(200 * time.Millisecond)
+				if blocked {
+					w.noVMs = true
+					w.targets["t000"].reachable = false
+					w.takeOver()
+					w.run(200 * time.Millisecond)
+				}
+				b.ResetTimer()
+				for range b.N {
+					w.now += 5 * time.Millisecond
+					w.engine.Tick(w.now, w.wall())
+					w.engine.Orders()
+				}
+			})
+		}
+	}
+}
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -81,7 +81,6 @@
 	paceSent    int
 	paceSentAt  time.Duration
 	figure      float64
-	overSince   time.Duration // since when a serving task is over its target; zero if it isn't
 }
 
 // phase is where a run stands.
@@ -167,7 +166,8 @@
 	}
 	j.excess = e.exceeds(doc, now)
 	j.planned = true
-	if progress == nil && !doc.Scheduled() && !doc.Lasting() && !j.excess {
+	fresh := created > e.cfg.Fence
+	if fresh && !doc.Scheduled() && !doc.Lasting() && !j.excess {
 		e.pool(e.poolOf(j)).offered.add(doc.WorkMS(), now)
 	}
 	e.openOccurrences(now, nowMS)
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -12,8 +13,10 @@
 	moveDelay = 300 * time.Millisecond
 	// parkDelay is how long a target must be idle before it goes to a spare pool.
 	parkDelay = 2000 * time.Millisecond
-	// maxMovesPerRound bounds the moves of one round.
-	maxMovesPerRound = 12
+	// defaultVMOrders is the rate of orders for VMs, a second, if none is stated.
+	defaultVMOrders = 60
+	// moveShare is the part of that rate that moves may take; the rest is for upkeep.
+	moveShare = 0.8
 	// comingShare is the part of the demand of later steps that is moved for: it
 	// comes when what runs now makes room.
 	comingShare = 0.3
@@ -46,7 +49,7 @@
 			e.moves.pending[vm.Pool]++
 		}
 	}
-	left := maxMovesPerRound
+	left := e.movesPerRound()
 	names := e.sortedPools()
 	sort.SliceStable(names, func(i, j int) bool { return e.pools[names[i]].shortage(now) > e.pools[names[j]].shortage(now) })
 	for _, name := range names {
@@ -86,6 +89,15 @@
 // poolLogInterval separates two log lines about a pool.
 const poolLogInterval = time.Second
 
+// movesPerRound returns how many VMs may be ordered to move at once.
+func (e *Engine) movesPerRound() int {
+	rate := e.cfg.VMOrdersPerSecond
+	if rate <= 0 {
+		rate = defaultVMOrders
+	}
+	return max(1, int(moveShare*rate*moveInterval.Seconds()))
+}
+
 // noteIdle tracks since when targets are idle.
 func (e *Engine) noteIdle(now time.Duration) {
 	idle := map[string]time.Duration{}
@@ -138,6 +150,7 @@
 // first, then idle ones of pools that have room to spare.
 func (e *Engine) movable(pool string, now time.Duration) []string {
 	var off, idle []string
+	keep := e.floor(moveFloor)
 	for _, id := range sortedVMs(e.wave.vms) {
 		vm := e.wave.vms[id]
 		if vm.Pool == pool || !e.orderable(vm, now) {
@@ -152,7 +165,7 @@
 			continue
 		}
 		p := e.pool(vm.Pool)
-		if t.yielding || p.demand.usable > moveFloor && p.shortage(now)+t.Capacity.CPUMillis <= 0 {
+		if t.yielding || p.demand.usable > keep && p.shortage(now)+t.Capacity.CPUMillis <= 0 {
 			idle = append(idle, id)
 		}
 	}
@@ -222,6 +235,7 @@
 
 // park moves VMs that were idle for long to a spare pool, where they cost nothing.
 func (e *Engine) park(most int, now time.Duration) {
+	keep := e.floor(parkFloor)
 	to := ""
 	for _, name := range sortedPoolNames(e.conf.Pools) {
 		if e.spare(name) {
@@ -242,7 +256,7 @@
 			if most <= 0 || !idle || busy || t.VM == "" || !e.usable(t, now) || now-since < parkDelay || now < e.wave.retryAt[t.VM] {
 				continue
 			}
-			if p.shortage(now)+t.Capacity.CPUMillis > 0 || p.demand.usable <= parkFloor {
+			if p.shortage(now)+t.Capacity.CPUMillis > 0 || p.demand.usable <= keep {
 				break
 			}
 			p.demand.usable--
@@ -254,13 +268,20 @@
 }
 
 const (
-	// parkFloor is the number of targets that a pool keeps when it is idle, so that the
+	// parkFloor is the part of the fleet that a pool keeps when it is idle, so that the
 	// first jobs of a burst start at once; a VM comes 1.7 s after it is ordered.
-	parkFloor = 5
-	// moveFloor is the number of targets that it keeps when another pool needs VMs.
-	moveFloor = 3
+	parkFloor = 0.1
+	// moveFloor is the part of the fleet that it keeps when another pool needs VMs.
+	moveFloor = 0.06
+	// minFloor is the least number of targets that it keeps.
+	minFloor = 3
 )
 
+// floor returns the number of targets that are a part of the fleet.
+func (e *Engine) floor(part float64) int {
+	return max(minFloor, int(math.Round(part*float64(len(e.wave.vms)))))
+}
+
 func (e *Engine) move(vm, to string, now time.Duration) {
 	from := e.wave.vms[vm]
 	e.cfg.Logger.Info("VM moves", "vm", vm, "from", from.Pool, "to", to,
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -93,6 +93,9 @@
 	// DutyDelay is the time after the acquisition before the first order for a VM, so
 	// that orders of two owners do not mix.
 	DutyDelay time.Duration
+	// VMOrdersPerSecond is the rate at which the platform takes orders for VMs; zero if
+	// it is not known.
+	VMOrdersPerSecond float64
 	// Roster names the targets that the previous owner used.
 	Roster []string
 	// First is true when no owner came before this one.
@@ -105,25 +108,29 @@
 
 // Engine is the state of the owner.
 type Engine struct {
-	cfg       Config
-	conf      Configuration
-	jobs      map[string]*job
-	active    []*job // jobs that have not ended, in the order in which they came
-	targets   map[string]*target
-	pools     map[string]*pool
-	usage     map[string]jobkeeper.Resources // reserved by team
-	intake    map[string]*tokenBucket        // by team
-	runs      uint64
-	orders    []Order
-	questions []Question
-	dirty     map[string]bool
-	roster    roster
-	wave      *waves
-	moves     movePlan
-	plannedAt time.Duration
-	sweptAt   time.Duration
-	blocked   bool // tasks may run on targets of the roster that were not listed yet
-	stats     Stats
+	cfg          Config
+	conf         Configuration
+	jobs         map[string]*job
+	active       []*job // jobs that have not ended, in the order in which they came
+	targets      map[string]*target
+	pools        map[string]*pool
+	usage        map[string]jobkeeper.Resources // reserved by team
+	intake       map[string]*tokenBucket        // by team
+	runs         uint64
+	orders       []Order
+	questions    []Question
+	dirty        map[string]bool
+	roster       roster
+	wave         *waves
+	moves        movePlan
+	plannedAt    time.Duration
+	sweptAt      time.Duration
+	uncertain    map[string]jobkeeper.Resources // by team, during one Tick
+	unanswered   int                            // starts without an answer yet
+	regroupDue   bool                           // the lists of targets by pool are out of date
+	waitLoggedAt time.Duration
+	blocked      bool // tasks may run on targets of the roster that were not listed yet
+	stats        Stats
 }
 
 // Stats counts what the engine decided since it started.
@@ -177,6 +184,8 @@
 
 // Tick decides what to start, stop, pace and move now. wallMS is the Unix time.
 func (e *Engine) Tick(now time.Duration, wallMS int64) {
+	e.uncertain = nil
+	e.regroup()
 	e.expireTargets(now)
 	e.unblock(now)
 	e.openOccurrences(now, wallMS)
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -9,9 +9,13 @@
 // planInterval separates two plans; between them work keeps its place.
 const planInterval = 40 * time.Millisecond
 
+// planPerJob is added for each job, so that plans of long backlogs take a bounded
+// part of the processor.
+const planPerJob = 100 * time.Microsecond
+
 // plan decides which jobs of each pool are served on time.
 func (e *Engine) plan(now time.Duration) {
-	if now-e.plannedAt < planInterval {
+	if now-e.plannedAt < planInterval+time.Duration(len(e.active))*planPerJob {
 		return
 	}
 	e.plannedAt = now
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -10,17 +10,16 @@
 )
 
 const (
+	// maxUnanswered bounds the starts that are under way. More would wait in this
+	// daemon while what they rest on grows old.
+	maxUnanswered = 256
 	// maxSlowdown is the slowdown above which a target gets no new tasks.
 	maxSlowdown = 2.5
-	// reserveSlack is the slack below which a waiting step that finds no room
-	// keeps less urgent work from taking what becomes free.
-	reserveSlack = 500 * time.Millisecond
 )
 
 // group is a step with tasks that could start now.
 type group struct {
 	step      *stepState
-	waiting   []*task
 	candidate sequencer.Candidate
 }
 
@@ -46,13 +45,11 @@
 				continue
 			}
 			for _, s := range o.steps {
-				waiting := s.waitingTasks(now)
-				if len(waiting) == 0 || !s.ready() {
+				if !s.hasWaiting(now) || !s.ready() {
 					continue
 				}
 				groups[name] = append(groups[name], group{
 					step:      s,
-					waiting:   waiting,
 					candidate: e.candidate(s, now),
 				})
 			}
@@ -61,13 +58,30 @@
 	return groups
 }
 
+// hasWaiting reports whether a task of the step could start.
+func (s *stepState) hasWaiting(now time.Duration) bool {
+	if s.done == len(s.tasks) {
+		return false
+	}
+	for _, t := range s.tasks {
+		if t.startable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *task) startable(now time.Duration) bool {
+	return t.waiting() && !t.uncertain && now >= t.notBefore
+}
+
 func (s *stepState) waitingTasks(now time.Duration) []*task {
 	if s.done == len(s.tasks) {
 		return nil
 	}
 	var waiting []*task
 	for _, t := range s.tasks {
-		if t.waiting() && !t.uncertain && now >= t.notBefore {
+		if t.startable(now) {
 			waiting = append(waiting, t)
 		}
 	}
@@ -96,6 +110,9 @@
 	views := e.views(p, now)
 	full := misfits{}
 	for _, g := range groups {
+		if e.unanswered >= maxUnanswered {
+			return
+		}
 		needs := g.step.step.Reserved()
 		if full.covers(needs) {
 			e.waits(g, p, waitRoom, now)
@@ -106,12 +123,11 @@
 			continue
 		}
 		own := e.viewFor(views, g.step)
-		placed := false
+		start := e.startTasks
 		if g.step.step.Gang {
-			placed = e.startGang(p, g, own, now)
-		} else {
-			placed = e.startTasks(p, g, own, now)
+			start = e.startGang
 		}
+		placed := start(p, g, own, now)
 		for i := range own {
 			views[i].Used, views[i].Idle, views[i].Filling, views[i].Serving = own[i].Used, own[i].Idle, own[i].Filling, own[i].Serving
 		}
@@ -131,20 +147,27 @@
 	waitAdvice = "advice"
 )
 
-// waitLogAfter is how long a step waits before the reason is logged, and then how
-// long until it is logged again.
-const waitLogAfter = 2 * time.Second
+const (
+	// waitLogAfter is how long a step waits before the reason is logged.
+	waitLogAfter = 2 * time.Second
+	// waitLogAgain is how long until it is logged again.
+	waitLogAgain = 10 * time.Second
+	// waitLogInterval bounds these lines under overload.
+	waitLogInterval = 50 * time.Millisecond
+)
 
 // waits logs why a step does not start.
 func (e *Engine) waits(g group, p *pool, reason string, now time.Duration) {
 	s := g.step
-	if now-max(s.occurrence.due, s.waitLoggedAt) < waitLogAfter {
+	waited := now - s.occurrence.due
+	if waited < waitLogAfter || s.waitLoggedAt > 0 && now-s.waitLoggedAt < waitLogAgain || now-e.waitLoggedAt < waitLogInterval {
 		return
 	}
 	s.waitLoggedAt = now
+	e.waitLoggedAt = now
 	team := s.job.doc.Team
 	e.cfg.Logger.Info("job waits", "job", s.job.doc.ID, "step", s.index, "for", reason, "pool", p.name, "targets", len(p.targets), "usable", p.demand.usable,
-		"tasks", len(g.waiting), "needs", s.step.Needs, "planned", s.job.planned, "excess", s.job.excess, "slack_ms", g.candidate.Slack.Milliseconds(),
+		"waited_ms", waited.Milliseconds(), "needs", s.step.Needs, "planned", s.job.planned, "excess", s.job.excess, "slack_ms", g.candidate.Slack.Milliseconds(),
 		"team", team, "team_used", e.usage[team], "team_limit", e.conf.Teams[team].Limit)
 }
 
@@ -169,7 +192,10 @@
 // startTasks places the tasks of a step one by one. It returns false if one found
 // no room.
 func (e *Engine) startTasks(p *pool, g group, views []packer.Target, now time.Duration) bool {
-	for _, t := range g.waiting {
+	for _, t := range g.step.waitingTasks(now) {
+		if e.unanswered >= maxUnanswered {
+			return true
+		}
 		if !e.withinLimit(g.step.job.doc.Team, g.step.step.Needs) {
 			e.waits(g, p, waitLimit, now)
 			return true
@@ -187,14 +213,15 @@
 // startGang places all tasks of a step or none.
 func (e *Engine) startGang(p *pool, g group, views []packer.Target, now time.Duration) bool {
 	step := g.step.step
-	if len(g.waiting) < len(g.step.tasks) || !e.withinLimit(g.step.job.doc.Team, step.Needs.Times(int64(len(g.waiting)))) {
+	waiting := g.step.waitingTasks(now)
+	if len(waiting) < len(g.step.tasks) || !e.withinLimit(g.step.job.doc.Team, step.Needs.Times(int64(len(waiting)))) {
 		e.waits(g, p, waitLimit, now)
 		return true
 	}
 	original := append([]packer.Target(nil), views...)
-	chosen := make([]int, 0, len(g.waiting))
+	chosen := make([]int, 0, len(waiting))
 	rack := ""
-	for _, t := range g.waiting {
+	for _, t := range waiting {
 		i := packer.Choose(e.request(g.step, rack), e.withoutAvoided(t, views))
 		if i < 0 {
 			copy(views, original)
@@ -207,7 +234,7 @@
 		chosen = append(chosen, i)
 	}
 	run := e.nextRun()
-	for n, t := range g.waiting {
+	for n, t := range waiting {
 		e.launch(t, p.targets[chosen[n]], run, now)
 	}
 	return true
@@ -296,24 +323,35 @@
 	return limit == 0 || used <= limit
 }
 
-// uncertainUsage returns what a team's tasks may use on targets that were not listed yet.
+// uncertainUsage returns what a team's tasks may use on such targets.
 func (e *Engine) uncertainUsage(team string) jobkeeper.Resources {
-	var sum jobkeeper.Resources
+	if e.uncertain == nil {
+		e.uncertain = e.measureUncertain()
+	}
+	return e.uncertain[team]
+}
+
+// measureUncertain returns by team what tasks may use on targets that were not listed
+// yet. Tick forgets the result.
+func (e *Engine) measureUncertain() map[string]jobkeeper.Resources {
+	usage := map[string]jobkeeper.Resources{}
 	for _, j := range e.active {
-		if j.doc.Team != team {
-			continue
-		}
+		var sum jobkeeper.Resources
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
+				if !s.ready() {
+					continue
+				}
 				for _, t := range s.tasks {
-					if t.uncertain && s.ready() {
+					if t.uncertain {
 						sum = sum.Plus(s.step.Needs)
 					}
 				}
 			}
 		}
+		usage[j.doc.Team] = usage[j.doc.Team].Plus(sum)
 	}
-	return sum
+	return usage
 }
 
 // launch orders the start of a task.
@@ -340,6 +378,7 @@
 		e.cfg.Logger.Info("job started", "job", j.doc.ID, "queue", j.doc.Queue, "waited_ms", (now - t.step.occurrence.due).Milliseconds(), "target", on.ID)
 	}
 	e.stats.Starts++
+	e.unanswered++
 	deadline := on.clock(now) + e.cfg.Hold.Milliseconds()
 	on.deadlineMS = max(on.deadlineMS, deadline)
 	e.orders = append(e.orders, Order{
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -98,13 +98,17 @@
 	} else if r.Draining && !t.Draining {
 		e.cfg.Logger.Info("target drains", "target", r.ID, "pool", r.Pool)
 	}
+	// Most registrations are heartbeats, which change no group.
+	moved := !t.registered || t.Pool != r.Pool
 	vm := t.VM
 	t.Registration = r
 	if t.VM == "" {
 		t.VM = vm
 	}
 	t.registered = true
-	e.regroup()
+	if moved {
+		e.regroupDue = true
+	}
 }
 
 // Unregister notes that a target is no longer registered. What runs there may go on
@@ -116,7 +120,7 @@
 	}
 	t.registered = false
 	e.cfg.Logger.Info("target gone", "target", id, "pool", t.Pool, "running", len(t.attempts), "lapsed_in_ms", max(0, t.lapsedBy()-now).Milliseconds())
-	e.regroup()
+	e.regroupDue = true
 }
 
 // Assign states on which VM a target runs.
@@ -168,8 +172,12 @@
 	}
 }
 
-// regroup rebuilds the lists of targets by pool.
+// regroup rebuilds the lists of targets by pool if one changed.
 func (e *Engine) regroup() {
+	if !e.regroupDue {
+		return
+	}
+	e.regroupDue = false
 	for _, p := range e.pools {
 		p.targets = p.targets[:0]
 	}
--- a/pkg/orchestrator/world_test.go
+++ b/pkg/orchestrator/world_test.go
@@ -375,14 +375,6 @@
 	w.engine.Answered(answer, w.now+time.Millisecond)
 }
 
-// delay makes an order arrive later, without an answer.
-func (w *world) delay(o orchestrator.Order, d time.Duration) {
-	w.late = append(w.late, lateOrder{
-		at:    w.now + d,
-		order: o,
-	})
-}
-
 func (w *world) deliverLate() {
 	var kept []lateOrder
 	for _, l := range w.late {
