Maintain no VM whose target a new owner has not listed; keep leases in an outage

An owner whose right ended in an outage of the store stopped extending leases at once.

Tests, each fails with its line switched off: TestNewOwnerMaintainsNoVMWhoseTargetItHasNotListed, TestCallsThatRestOnAnOldConfigurationAreTurnedAway, TestLeasesAreKeptForAWhileWhenTheStoreIsAway.

--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -97,6 +97,10 @@
 		return admission{}, unavailable("no configuration yet")
 	}
 	stale := f.operators.age() > staleAfter
+	if stale && call.Job == nil {
+		// Only a submission has the configuration confirmed by the store.
+		return admission{}, unavailable("configuration out of date")
+	}
 	route, found := conf.Route(call.Host, call.Path)
 	if !found {
 		return admission{}, f.negative(VerdictNoQueue, "no such queue", stale)
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -99,6 +99,8 @@
 	number uint64
 	starts map[string]int
 	began  map[uint64]time.Time
+	// extended is when a lease was last extended.
+	extended time.Time
 	// duration is how long a task takes.
 	duration time.Duration
 }
@@ -152,6 +154,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if plan.DeadlineMS > 0 {
+		t.extended = time.Now()
+	}
 	l := orchestrator.Listing{
 		ClockMS: t.clock(),
 		Born:    1,
@@ -212,6 +217,20 @@
 	return u.Memory.Scan(ctx, prefix)
 }
 
+func (u *unsteady) Follow(ctx context.Context, prefix string, after storer.Version, wait time.Duration) (storer.Changes, error) {
+	if before, _ := u.errors("follow "+prefix, storer.Transaction{}); before != nil {
+		return storer.Changes{}, before
+	}
+	return u.Memory.Follow(ctx, prefix, after, wait)
+}
+
+func (u *unsteady) Renew(ctx context.Context, id storer.LeaseID) error {
+	if before, _ := u.errors("renew", storer.Transaction{}); before != nil {
+		return before
+	}
+	return u.Memory.Renew(ctx, id)
+}
+
 // installation is a store with a configuration, one target and daemons.
 type installation struct {
 	t       *testing.T
@@ -590,3 +609,54 @@
 		}
 	})
 }
+
+// A daemon that has not heard from the store lately neither serves nor refuses on what
+// it knows of the configuration.
+func TestCallsThatRestOnAnOldConfigurationAreTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newInstallation(t)
+		m, stop := i.start("a")
+		defer stop()
+		time.Sleep(time.Second)
+		i.store.set(func(call string, _ storer.Transaction) (before, after error) {
+			if strings.HasPrefix(call, "follow") || strings.HasPrefix(call, "scan") {
+				return storer.ErrUnavailable, nil
+			}
+			return nil, nil
+		})
+		time.Sleep(3 * time.Second)
+		for name, c := range map[string]manager.Call{
+			"queue":       call("k1", "", nil),
+			"job":         call("k1", "j1", nil),
+			"unknown key": call("k2", "j1", nil),
+			"other path":  {Host: "desk.example", Path: "/x/", Key: "k1"},
+		} {
+			if r := m.Front().State(t.Context(), c); r.Verdict != manager.VerdictUnavailable {
+				t.Errorf("%s: verdict is %s, want unavailable", name, r.Verdict)
+			}
+		}
+	})
+}
+
+// What runs outlasts an outage of the store: leases are extended for a while after the
+// owner's right has ended, and not for longer, because a new owner counts on that.
+func TestLeasesAreKeptForAWhileWhenTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newInstallation(t)
+		i.targets.duration = time.Minute
+		m, stop := i.start("a")
+		defer stop()
+		time.Sleep(time.Second)
+		j := smallJob()
+		j.Steps[0].EstimateMS = 60_000
+		m.Front().Submit(t.Context(), call("k1", "j1", j))
+		time.Sleep(2 * time.Second)
+		i.store.set(func(string, storer.Transaction) (before, after error) { return storer.ErrUnavailable, nil })
+		away := time.Now()
+		time.Sleep(20 * time.Second)
+		// The right lasts up to 1.5 s, and leases are kept for 3 s more.
+		if kept := i.targets.extended.Sub(away); kept < 3*time.Second || kept > 4600*time.Millisecond {
+			t.Errorf("leases were extended until %v after the store went away, want 3 s to 4.6 s", kept)
+		}
+	})
+}
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -119,6 +120,9 @@
 	}
 	<-ctx.Done()
 	o.workers.Wait()
+	if !errors.Is(context.Cause(ctx), errDeposed) && !o.entitled() {
+		go o.linger(context.WithoutCancel(ctx))
+	}
 	o.logger.Info("owner stopped", "fence", uint64(o.term.Fence), "stats", o.engine.Stats())
 	return context.Cause(ctx)
 }
@@ -164,6 +168,7 @@
 		AcquiredAt:         o.term.AcquiredAt,
 		Hold:               min(holdTime, b.MaxHold-holdReserve),
 		MaxHold:            b.MaxHold,
+		Linger:             lingerTime,
 		StopTime:           b.StopTime,
 		EarlyStart:         b.EarlyStart,
 		RemoteFactor:       b.RemoteFactor,
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -74,6 +74,8 @@
 	Hold time.Duration
 	// MaxHold is the longest lease that a target grants.
 	MaxHold time.Duration
+	// Linger is how long an earlier owner may have extended leases after its right ended.
+	Linger time.Duration
 	// StopTime is the longest time that a stopped task takes to end.
 	StopTime time.Duration
 	// EarlyStart is how long before its due time an occurrence may start.
--- a/pkg/orchestrator/orchestrator_test.go
+++ b/pkg/orchestrator/orchestrator_test.go
@@ -155,6 +155,32 @@
 	w.verify()
 }
 
+// A new owner knows nothing of what runs on a target before it has read its lists.
+func TestNewOwnerMaintainsNoVMWhoseTargetItHasNotListed(t *testing.T) {
+	w := newDesk(t, 4)
+	w.submit(lastingJob("a", 3, 1))
+	w.run(time.Second)
+	var vms []string
+	for _, f := range w.targets {
+		vms = append(vms, f.VM)
+		f.reachable = false
+	}
+	w.takeOver()
+	w.engine.AddWave(orchestrator.Wave{
+		Number:   1,
+		VMs:      vms,
+		Duration: 20 * time.Second,
+		Most:     4,
+	}, nil, w.now)
+	w.run(500 * time.Millisecond)
+	for id, f := range w.targets {
+		if f.Born != 1 {
+			t.Errorf("%s was maintained before its lists were read", id)
+		}
+	}
+	w.verify()
+}
+
 func TestWaveMaintainsEveryVMOnceAndKeepsItsLimit(t *testing.T) {
 	w := newDesk(t, 6)
 	w.submit(lastingJob("a", 3, 1))
--- a/pkg/orchestrator/progress.go
+++ b/pkg/orchestrator/progress.go
@@ -239,7 +239,7 @@
 	if !e.blocked {
 		return
 	}
-	lapsed := now > e.cfg.AcquiredAt+time.Duration(float64(e.cfg.MaxHold)*(1+clockDrift))+blockMargin
+	lapsed := now > e.cfg.AcquiredAt+e.cfg.Linger+time.Duration(float64(e.cfg.MaxHold)*(1+clockDrift))+blockMargin
 	missing := e.unlisted()
 	if len(missing) > 0 && !lapsed {
 		return
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -119,7 +119,8 @@
 			e.stop(a, now, reason)
 		}
 	}
-	return len(t.attempts) == 0
+	// Before its lists were read, nothing is known of what an earlier owner ordered.
+	return t.listed && len(t.attempts) == 0
 }
 
 // mayInterrupt reports whether the budget of a task's step allows to stop it now.
