--- /dev/null
+++ b/internal/manager/harness_test.go
@@ -0,0 +1,338 @@
+package manager_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/comfreyford/comfreyford/internal/manager"
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/orchestrator"
+	"github.com/comfreyford/comfreyford/pkg/storer"
+)
+
+// directory reads a configuration that tests write as JSON.
+type directory struct{}
+
+type testConfig struct {
+	Version int64
+	Keys    map[string]string // team by key
+}
+
+func (directory) OperatorPrefix() string     { return "operators/" }
+func (directory) ConfigurationKey() string   { return "operators/config" }
+func (directory) TargetPrefix() string       { return "targets/" }
+func (directory) TargetID(key string) string { return strings.TrimPrefix(key, "targets/") }
+func (directory) Wave(storer.Item) (orchestrator.Wave, bool, error) {
+	return orchestrator.Wave{}, false, nil
+}
+
+func (directory) WaveStatus(orchestrator.WaveState) (storer.Put, error) {
+	return storer.Put{}, errors.New("no waves here")
+}
+
+func (directory) Configuration(data []byte) (*manager.Configuration, error) {
+	var c testConfig
+	if err := json.Unmarshal(data, &c); err != nil {
+		return nil, err
+	}
+	conf := &manager.Configuration{
+		Version: c.Version,
+		Routes: []manager.Route{{
+			Host:   "desk.example",
+			Prefix: "/quotes/",
+			Queue:  "quotes",
+		}},
+		Keys: map[[sha256.Size]byte]string{},
+		Engine: orchestrator.Configuration{
+			Queues: map[string]orchestrator.Queue{
+				"quotes": {
+					Name:          "quotes",
+					Pool:          "desk",
+					MaxAttempts:   4,
+					StretchFactor: 1.6,
+					TargetLatency: 600 * time.Millisecond,
+				},
+			},
+			Pools: map[string]orchestrator.Pool{
+				"desk": {
+					Name: "desk",
+				},
+			},
+		},
+	}
+	for key, team := range c.Keys {
+		conf.Keys[sha256.Sum256([]byte(key))] = team
+	}
+	return conf, nil
+}
+
+func (d directory) Registration(item storer.Item) (orchestrator.Registration, error) {
+	return orchestrator.Registration{
+		Endpoint: orchestrator.Endpoint{
+			ID:      d.TargetID(item.Key),
+			Address: "a:1",
+		},
+		Pool: "desk",
+		Capacity: jobkeeper.Resources{
+			CPUMillis: 8000,
+			MemoryMB:  8000,
+		},
+	}, nil
+}
+
+// targets runs tasks for their estimated time and lists their ends.
+type targets struct {
+	mu     sync.Mutex
+	start  time.Time
+	runs   map[uint64]orchestrator.Run
+	ended  []orchestrator.End
+	number uint64
+	starts map[string]int
+	began  map[uint64]time.Time
+	// extended is when a lease was last extended.
+	extended time.Time
+	// duration is how long a task takes.
+	duration time.Duration
+}
+
+func newTargets() *targets {
+	return &targets{
+		start:  time.Now(),
+		runs:   map[uint64]orchestrator.Run{},
+		starts: map[string]int{},
+		began:  map[uint64]time.Time{},
+
+		duration: 300 * time.Millisecond,
+	}
+}
+
+func (t *targets) clock() int64 { return time.Since(t.start).Milliseconds() + 1 }
+
+func (t *targets) Order(_ context.Context, o orchestrator.Order) (orchestrator.Outcome, int64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o.Kind == orchestrator.KindStart {
+		t.starts[o.Task.String()]++
+		t.began[o.Run] = time.Now()
+		t.runs[o.Run] = orchestrator.Run{
+			Task: o.Task,
+			Run:  o.Run,
+		}
+		time.AfterFunc(t.duration, func() { t.end(o) })
+	}
+	return orchestrator.OutcomeOK, t.clock(), nil
+}
+
+func (t *targets) end(o orchestrator.Order) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.runs, o.Run)
+	t.number++
+	t.ended = append(t.ended, orchestrator.End{
+		Number: t.number,
+		Task:   o.Task,
+		Run:    o.Run,
+		How:    orchestrator.EndDone,
+	})
+}
+
+func (t *targets) List(ctx context.Context, plan orchestrator.HoldPlan) (orchestrator.Listing, error) {
+	select {
+	case <-ctx.Done():
+		return orchestrator.Listing{}, ctx.Err()
+	case <-time.After(min(plan.Wait, 20*time.Millisecond)):
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if plan.DeadlineMS > 0 {
+		t.extended = time.Now()
+	}
+	l := orchestrator.Listing{
+		ClockMS: t.clock(),
+		Born:    1,
+	}
+	for run, r := range t.runs {
+		r.Percent = int(100 * time.Since(t.began[run]) / t.duration)
+		l.Running = append(l.Running, r)
+	}
+	kept := t.ended[:0]
+	for _, e := range t.ended {
+		if e.Number > plan.Acknowledged {
+			kept = append(kept, e)
+		}
+	}
+	t.ended = kept
+	l.Ended = append(l.Ended, kept...)
+	return l, nil
+}
+
+// unsteady is a store whose calls can fail.
+type unsteady struct {
+	*storer.Memory
+	mu   sync.Mutex
+	fail func(call string, t storer.Transaction) (before, after error)
+}
+
+func (u *unsteady) set(f func(call string, t storer.Transaction) (before, after error)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fail = f
+}
+
+func (u *unsteady) errors(call string, t storer.Transaction) (before, after error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.fail == nil {
+		return nil, nil
+	}
+	return u.fail(call, t)
+}
+
+func (u *unsteady) Commit(ctx context.Context, t storer.Transaction) (storer.Version, error) {
+	before, after := u.errors("commit", t)
+	if before != nil {
+		return 0, before
+	}
+	version, err := u.Memory.Commit(ctx, t)
+	if after != nil && err == nil {
+		return 0, after
+	}
+	return version, err
+}
+
+func (u *unsteady) Scan(ctx context.Context, prefix string) (storer.Listing, error) {
+	if before, _ := u.errors("scan "+prefix, storer.Transaction{}); before != nil {
+		return storer.Listing{}, before
+	}
+	return u.Memory.Scan(ctx, prefix)
+}
+
+func (u *unsteady) Follow(ctx context.Context, prefix string, after storer.Version, wait time.Duration) (storer.Changes, error) {
+	if before, _ := u.errors("follow "+prefix, storer.Transaction{}); before != nil {
+		return storer.Changes{}, before
+	}
+	return u.Memory.Follow(ctx, prefix, after, wait)
+}
+
+func (u *unsteady) Renew(ctx context.Context, id storer.LeaseID) error {
+	if before, _ := u.errors("renew", storer.Transaction{}); before != nil {
+		return before
+	}
+	return u.Memory.Renew(ctx, id)
+}
+
+// installation is a store with a configuration, one target and daemons.
+type installation struct {
+	t       *testing.T
+	store   *unsteady
+	targets *targets
+	version int64
+}
+
+func newInstallation(t *testing.T) *installation {
+	i := &installation{
+		t: t,
+		store: &unsteady{
+			Memory: storer.NewMemory(),
+		},
+		targets: newTargets(),
+	}
+	i.configure(map[string]string{
+		"k1": "schools",
+	})
+	i.put("targets/t1", "x")
+	return i
+}
+
+func (i *installation) put(key, value string) {
+	i.t.Helper()
+	item, err := i.store.Read(i.t.Context(), key)
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	if _, err := i.store.CompareAndSwap(i.t.Context(), storer.Write{
+		Key:      key,
+		Value:    []byte(value),
+		Expected: item.Version,
+	}); err != nil {
+		i.t.Fatal(err)
+	}
+}
+
+func (i *installation) configure(keys map[string]string) {
+	i.t.Helper()
+	i.version++
+	data, err := json.Marshal(testConfig{
+		Version: i.version,
+		Keys:    keys,
+	})
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	i.put("operators/config", string(data))
+}
+
+// start runs a daemon and returns a function that stops it.
+func (i *installation) start(name string) (*manager.Manager, func()) {
+	began := time.Now()
+	m := manager.New(manager.Config{
+		Name:      name,
+		Logger:    hclog.NewNullLogger(),
+		Store:     i.store,
+		Directory: directory{},
+		Targets:   i.targets,
+		Clock:     func() time.Duration { return time.Since(began) + time.Hour },
+		Wall:      func() int64 { return time.Now().UnixMilli() },
+		Bounds: manager.Bounds{
+			MaxHold:      6 * time.Second,
+			StopTime:     200 * time.Millisecond,
+			Retention:    time.Minute,
+			RemoteFactor: 1.5,
+			DutyLease:    3 * time.Second,
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, c := range m.Components() {
+		running.Go(func() {
+			if err := c.Run(ctx); err != nil {
+				i.t.Error(err)
+			}
+		})
+	}
+	return m, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+func call(key, id string, job *jobkeeper.Job) manager.Call {
+	return manager.Call{
+		Host: "desk.example",
+		Path: "/quotes/" + id,
+		Key:  key,
+		Job:  job,
+	}
+}
+
+func smallJob() *jobkeeper.Job {
+	return &jobkeeper.Job{
+		Spec: "s",
+		Steps: []jobkeeper.Step{{
+			Count: 2,
+			Needs: jobkeeper.Resources{
+				CPUMillis: 1000,
+				MemoryMB:  100,
+			},
+			EstimateMS: 300,
+		}},
+	}
+}
