Count an order for upkeep that is under way against the limit of its wave

Ruled out: the count of VMs in the list.

Test: TestOrderForUpkeepThatIsUnderWayCountsAgainstTheLimit, two orders before.

--- a/pkg/orchestrator/orchestrator_test.go
+++ b/pkg/orchestrator/orchestrator_test.go
@@ -181,6 +181,36 @@
 	w.verify()
 }
 
+// A list of VMs that was asked for while an order for upkeep is under way shows the VM
+// as up. It must not make room for another one.
+func TestOrderForUpkeepThatIsUnderWayCountsAgainstTheLimit(t *testing.T) {
+	w := newDesk(t, 4)
+	var vms []string
+	for _, f := range w.targets {
+		vms = append(vms, f.VM)
+	}
+	w.engine.AddWave(orchestrator.Wave{
+		Number:   1,
+		VMs:      vms,
+		Duration: 20 * time.Second,
+		Most:     1,
+	}, nil, w.now)
+	orders := 0
+	for range 20 {
+		w.now += worldStep
+		w.listVMs()
+		w.engine.Tick(w.now, w.wall())
+		for _, o := range w.engine.Orders() {
+			if o.Kind == orchestrator.KindServe {
+				orders++
+			}
+		}
+	}
+	if orders != 1 {
+		t.Errorf("%d orders for upkeep are under way, want 1", orders)
+	}
+}
+
 func TestWaveMaintainsEveryVMOnceAndKeepsItsLimit(t *testing.T) {
 	w := newDesk(t, 6)
 	w.submit(lastingJob("a", 3, 1))
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -32,6 +32,9 @@
 // vmOrderTimeout is the time after which an unanswered order for a VM is given up.
 const vmOrderTimeout = 4 * time.Second
 
+// vmOrderUnderWay is longer than an order can go without an answer.
+const vmOrderUnderWay = time.Minute
+
 // SetVMs replaces the list of VMs, which was asked for at the given time. The list
 // names the target that lives on each VM, so it also tells which targets have ended:
 // nothing that they ran goes on.
@@ -157,7 +160,9 @@
 // vmOrder appends an order for a VM and its target.
 func (e *Engine) vmOrder(o Order, now time.Duration) {
 	o.Fence = e.cfg.Fence
-	e.wave.busy[o.VM] = now
+	// A list that is asked for while the order is under way can still show the VM as
+	// it was.
+	e.wave.busy[o.VM] = now + vmOrderUnderWay
 	if t := e.targetOn(o.VM); t != nil {
 		t.removing = true
 		o.Target = t.Endpoint
--- a/pkg/orchestrator/wave.go
+++ b/pkg/orchestrator/wave.go
@@ -33,9 +33,11 @@
 type waves struct {
 	vms      map[string]VM
 	listedAt time.Duration
-	busy     map[string]time.Duration // VMs that were ordered to move or to be maintained
-	retryAt  map[string]time.Duration
-	active   map[int]*wave
+	// busy are the VMs that were ordered to move or to be maintained, with the time from
+	// which a list shows the outcome.
+	busy    map[string]time.Duration
+	retryAt map[string]time.Duration
+	active  map[int]*wave
 }
 
 type wave struct {
