Remove bounds that nothing uses, and name orders for upkeep as such

Read as a newcomer: settings without an effect are gone, the pace of changes and the repeat of stops follow the platform's bounds, and knowledge of the configuration counts as stale after three quarters of the time in which a configuration has to be in force, 1.5 s at most.

--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -96,7 +96,7 @@
 	if conf == nil {
 		return admission{}, unavailable("no configuration yet")
 	}
-	stale := f.operators.age() > staleAfter
+	stale := f.operators.age() > f.cfg.Bounds.staleAfter()
 	if stale && call.Job == nil {
 		// Only a submission has the configuration confirmed by the store.
 		return admission{}, unavailable("configuration out of date")
--- a/internal/manager/holder.go
+++ b/internal/manager/holder.go
@@ -150,7 +150,7 @@
 
 // dispatch carries out an order in the background.
 func (o *owner) dispatch(ctx context.Context, order orchestrator.Order) {
-	if order.Kind == orchestrator.KindMove || order.Kind == orchestrator.KindServe {
+	if order.Kind == orchestrator.KindMove || order.Kind == orchestrator.KindUpkeep {
 		o.spawn(func() { o.orderVM(ctx, order) })
 		return
 	}
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -96,19 +97,24 @@
 
 // Bounds are the times that the platform and its users state.
 type Bounds struct {
-	MaxHold            time.Duration // longest lease that a target grants
-	StopTime           time.Duration // longest time that a stopped task takes
-	EarlyStart         time.Duration // how early an occurrence may start
-	Retention          time.Duration // how long the state of an ended job is shown
-	RemoteFactor       float64       // slowdown of tasks away from their data
-	CheckpointInterval time.Duration // work between two checkpoints
-	PaceDelay          time.Duration // time until a change of pace works
-	ImpactLimit        time.Duration // longest time for which filling tasks may disturb serving ones
-	AwayNotice         time.Duration // time after which a protected task that is down counts as away
-	DutyLease          time.Duration // time that separates orders of two holders for VMs
-	ConfigApply        time.Duration // time in which a configuration has to be in force
-	MinLease           time.Duration // shortest lease of the store
-	VMOrdersPerSecond  float64       // rate at which the platform takes orders for VMs; zero if not stated
+	MaxHold           time.Duration // longest lease that a target grants
+	StopTime          time.Duration // longest time that a stopped task takes
+	EarlyStart        time.Duration // how early an occurrence may start
+	Retention         time.Duration // how long the state of an ended job is shown
+	RemoteFactor      float64       // slowdown of tasks away from their data
+	PaceDelay         time.Duration // time until a change of pace works
+	DutyLease         time.Duration // time that separates orders of two holders for VMs
+	ConfigApply       time.Duration // time in which a configuration has to be in force
+	MinLease          time.Duration // shortest lease of the store
+	VMOrdersPerSecond float64       // rate at which the platform takes orders for VMs; zero if not stated
+}
+
+// staleAfter returns the age at which knowledge of the configuration is stale.
+func (b Bounds) staleAfter() time.Duration {
+	if b.ConfigApply <= 0 {
+		return staleAfter
+	}
+	return min(staleAfter, time.Duration(staleShare*float64(b.ConfigApply)))
 }
 
 // Times of the daemon.
@@ -120,9 +126,12 @@
 	// holdTime is the lease asked for at targets. It outlasts a takeover and an outage
 	// of the store of four seconds, and bounds how long the tasks of a cut target block.
 	holdTime = 5800 * time.Millisecond
-	// staleAfter is the age at which knowledge of the store no longer justifies new
-	// starts or refusals.
+	// staleAfter is the age at which knowledge of the configuration no longer justifies
+	// answers, if the users do not ask for less.
 	staleAfter = 1500 * time.Millisecond
+	// staleShare is the part of the time in which a configuration has to be in force
+	// after which knowledge of it counts as stale.
+	staleShare = 0.75
 )
 
 // Manager is one daemon.
@@ -133,7 +142,7 @@
 	queues    *queueBoard
 	board     *follower
 	front     *Front
-	leading   leader
+	leading   atomic.Pointer[owner] // set while this daemon is the owner
 
 	mu       sync.Mutex
 	draining bool
--- a/internal/manager/metrics.go
+++ b/internal/manager/metrics.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -80,9 +79,6 @@
 	return samples
 }
 
-// leader is the owner of a daemon that leads, for metrics.
-type leader = atomic.Pointer[owner]
-
 // measuredStore records the time of each call to the store.
 type measuredStore struct {
 	storer.TransactionalStore
--- a/pkg/orchestrator/attempt.go
+++ b/pkg/orchestrator/attempt.go
@@ -11,8 +11,8 @@
 	retryDelay = 50 * time.Millisecond
 	// refusalDelay is how long a target that had no room gets no new starts.
 	refusalDelay = 150 * time.Millisecond
-	// stopRetry is the time after which a stop is sent again.
-	stopRetry = 700 * time.Millisecond
+	// stopMargin is added to the time that a stop takes before it is sent again.
+	stopMargin = 500 * time.Millisecond
 	// stuckFactor is the multiple of its estimate after which a run without
 	// progress is stopped and started elsewhere.
 	stuckFactor = 1.5
@@ -109,9 +109,9 @@
 		}
 		for _, a := range t.sortedAttempts() {
 			switch {
-			case a.phase == phaseUncertain && a.stopSentAt == 0 && t.listedAt > a.orderedAt+stopRetry:
+			case a.phase == phaseUncertain && a.stopSentAt == 0 && t.listedAt > a.orderedAt+e.cfg.StopTime+stopMargin:
 				e.stop(a, now, "start not answered")
-			case a.phase == phaseStopping && a.stoppedAt == 0 && now-a.stopSentAt > stopRetry:
+			case a.phase == phaseStopping && a.stoppedAt == 0 && now-a.stopSentAt > e.cfg.StopTime+stopMargin:
 				e.sendStop(a, now)
 			}
 		}
@@ -168,14 +168,14 @@
 		e.stopAnswered(answer)
 	case KindPace:
 		e.paceAnswered(answer)
-	case KindMove, KindServe:
+	case KindMove, KindUpkeep:
 		e.vmAnswered(answer, now)
 	}
 }
 
 func (e *Engine) observe(answer Answer) {
 	kind, outcome := string(answer.Order.Kind), string(answer.Outcome)
-	if answer.Order.Kind == KindMove || answer.Order.Kind == KindServe {
+	if answer.Order.Kind == KindMove || answer.Order.Kind == KindUpkeep {
 		e.cfg.Observer.VMOrder(kind, outcome)
 		return
 	}
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -293,9 +293,6 @@
 	}, now)
 }
 
-// leaving reports whether the target's VM was ordered to move.
-func (e *Engine) leaving(t *target) bool { return t.removing }
-
 func (e *Engine) sortedPools() []string {
 	names := make([]string, 0, len(e.pools))
 	for name := range e.pools {
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -82,14 +82,8 @@
 	EarlyStart time.Duration
 	// RemoteFactor is the slowdown of tasks away from the rack of their data.
 	RemoteFactor float64
-	// CheckpointInterval is the work between two checkpoints of a task.
-	CheckpointInterval time.Duration
 	// PaceDelay is the time after which a change of pace has its effect.
 	PaceDelay time.Duration
-	// ImpactLimit is how long a serving task may stay over its target because of others.
-	ImpactLimit time.Duration
-	// AwayNotice is how long a protected task is down before it counts as away.
-	AwayNotice time.Duration
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
 	// DutyDelay is the time after the acquisition before the first order for a VM, so
--- a/pkg/orchestrator/orchestrator_test.go
+++ b/pkg/orchestrator/orchestrator_test.go
@@ -201,7 +201,7 @@
 		w.listVMs()
 		w.engine.Tick(w.now, w.wall())
 		for _, o := range w.engine.Orders() {
-			if o.Kind == orchestrator.KindServe {
+			if o.Kind == orchestrator.KindUpkeep {
 				orders++
 			}
 		}
--- a/pkg/orchestrator/order.go
+++ b/pkg/orchestrator/order.go
@@ -12,11 +12,11 @@
 
 // The kinds of orders.
 const (
-	KindStart Kind = "start"
-	KindStop  Kind = "stop"
-	KindPace  Kind = "pace"
-	KindMove  Kind = "move"
-	KindServe Kind = "upkeep"
+	KindStart  Kind = "start"
+	KindStop   Kind = "stop"
+	KindPace   Kind = "pace"
+	KindMove   Kind = "move"
+	KindUpkeep Kind = "upkeep"
 )
 
 // Endpoint identifies one life of a target.
--- a/pkg/orchestrator/pace.go
+++ b/pkg/orchestrator/pace.go
@@ -11,8 +11,9 @@
 	paceUp = 20
 	// paceRoom is the part of the target below which the share is raised.
 	paceRoom = 0.75
-	// paceInterval separates two changes: the figures average half a second.
-	paceInterval = 700 * time.Millisecond
+	// paceSettle is added to the delay of a change before the next one: the figures
+	// average half a second.
+	paceSettle = 600 * time.Millisecond
 )
 
 // pace slows filling tasks beside serving tasks whose response times are over
@@ -47,7 +48,7 @@
 }
 
 func (e *Engine) paceOne(a *attempt, over, room bool, now time.Duration) {
-	if now-a.paceSentAt < paceInterval && a.paceSentAt > 0 {
+	if now-a.paceSentAt < e.cfg.PaceDelay+paceSettle && a.paceSentAt > 0 {
 		return
 	}
 	wanted := a.pace
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -12,10 +12,10 @@
 
 // The states of a VM.
 const (
-	VMUp       VMState = "up"
-	VMMoving   VMState = "moving"
-	VMServiced VMState = "upkeep"
-	VMDown     VMState = "down"
+	VMUp     VMState = "up"
+	VMMoving VMState = "moving"
+	VMUpkeep VMState = "upkeep"
+	VMDown   VMState = "down"
 )
 
 // VM is an entry of the platform's list of VMs.
@@ -182,7 +182,7 @@
 			t.dead = true
 			e.loseAll(t, now, string(o.Kind))
 		}
-		if o.Kind == KindServe {
+		if o.Kind == KindUpkeep {
 			e.stats.Upkeeps++
 			e.wave.done(o.Wave, o.VM)
 			return
--- a/pkg/orchestrator/wave.go
+++ b/pkg/orchestrator/wave.go
@@ -132,7 +132,7 @@
 		}
 	}
 	for _, t := range e.targets {
-		if t.evacuating && !marked[t.VM] && !e.leaving(t) {
+		if t.evacuating && !marked[t.VM] && !t.removing {
 			t.evacuating = false
 		}
 	}
@@ -146,7 +146,7 @@
 		state, listed := e.wave.vms[vm]
 		_, busy := e.wave.busy[vm]
 		switch {
-		case listed && (state.State == VMServiced || busy && state.State != VMMoving):
+		case listed && (state.State == VMUpkeep || busy && state.State != VMMoving):
 			down++
 		case w.done[vm]:
 		case !listed:
@@ -190,7 +190,7 @@
 	}
 	if may {
 		e.vmOrder(Order{
-			Kind: KindServe,
+			Kind: KindUpkeep,
 			VM:   vm,
 			Wave: w.Number,
 		}, now)
--- a/pkg/orchestrator/world_test.go
+++ b/pkg/orchestrator/world_test.go
@@ -107,7 +107,6 @@
 		MaxHold:      worldLimit,
 		StopTime:     200 * time.Millisecond,
 		RemoteFactor: 1.5,
-		AwayNotice:   4 * time.Second,
 		Retention:    time.Minute,
 		Roster:       w.roster,
 		First:        len(w.roster) == 0,
@@ -361,7 +360,7 @@
 	}
 	f := w.targets[o.Target.ID]
 	switch {
-	case o.Kind == orchestrator.KindMove || o.Kind == orchestrator.KindServe:
+	case o.Kind == orchestrator.KindMove || o.Kind == orchestrator.KindUpkeep:
 		answer.Outcome = w.orderVM(o)
 	case f == nil || !f.reachable:
 	default:
