--- a/internal/manager/harness_test.go
+++ b/internal/manager/harness_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strings"
 	"sync"
 	"testing"
@@ -114,6 +115,20 @@
 	}
 }
 
+// startCounts returns how often each task started.
+func (t *targets) startCounts() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.starts)
+}
+
+// extendedAt returns when a lease was last extended.
+func (t *targets) extendedAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.extended
+}
+
 func (t *targets) clock() int64 { return time.Since(t.start).Milliseconds() + 1 }
 
 func (t *targets) Order(_ context.Context, o orchestrator.Order) (orchestrator.Outcome, int64, error) {
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -32,7 +32,7 @@
 			t.Errorf("a repeat after the end gets %s, want ok", r.Verdict)
 		}
 		time.Sleep(time.Second)
-		for task, n := range i.targets.starts {
+		for task, n := range i.targets.startCounts() {
 			if n != 1 {
 				t.Errorf("%s started %d times, want once", task, n)
 			}
@@ -66,7 +66,7 @@
 		if r := b.Front().State(t.Context(), call("k1", "j1", nil)); r.State != jobkeeper.StateComplete {
 			t.Errorf("state is %s, want complete", r.State)
 		}
-		for task, n := range i.targets.starts {
+		for task, n := range i.targets.startCounts() {
 			if n != 1 {
 				t.Errorf("%s started %d times, want once", task, n)
 			}
@@ -231,7 +231,7 @@
 			t.Errorf("%d of 60 jobs were refused; 22 jobs end within the time that is of use", len(refused))
 		}
 		time.Sleep(40 * time.Second)
-		for task := range i.targets.starts {
+		for task := range i.targets.startCounts() {
 			if id, _, _ := strings.Cut(task, "."); refused[id] {
 				t.Errorf("%s was refused and ran", id)
 			}
@@ -329,7 +329,7 @@
 		away := time.Now()
 		time.Sleep(20 * time.Second)
 		// The right lasts up to 1.5 s, and leases are kept for 3 s more.
-		if kept := i.targets.extended.Sub(away); kept < 3*time.Second || kept > 4600*time.Millisecond {
+		if kept := i.targets.extendedAt().Sub(away); kept < 3*time.Second || kept > 4600*time.Millisecond {
 			t.Errorf("leases were extended until %v after the store went away, want 3 s to 4.6 s", kept)
 		}
 	})
