--- a/internal/manager/linger.go
+++ b/internal/manager/linger.go
@@ -60,7 +60,7 @@
 				o.logger.Debug("lease not extended", "target", plan.Target.ID, "error", err)
 				return
 			}
-			plan.DeadlineMS = listing.ClockMS + min(holdTime, o.cfg.Bounds.MaxHold-holdReserve).Milliseconds() + lingerInterval.Milliseconds()
+			plan.DeadlineMS = listing.ClockMS + o.cfg.Bounds.holdTime().Milliseconds() + lingerInterval.Milliseconds()
 			mu.Lock()
 			defer mu.Unlock()
 			kept = append(kept, plan)
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -117,6 +117,9 @@
 	return min(staleAfter, time.Duration(staleShare*float64(b.ConfigApply)))
 }
 
+// holdTime returns the lease to ask for at targets.
+func (b Bounds) holdTime() time.Duration { return min(holdTime, b.MaxHold-holdReserve) }
+
 // Times of the daemon.
 const (
 	// ownerTTL is the lease of the owner; a lost owner is replaced after it at the latest.
--- a/internal/manager/metrics.go
+++ b/internal/manager/metrics.go
@@ -121,7 +121,7 @@
 
 func resultOf(err *error) string {
 	switch {
-	case err == nil || *err == nil:
+	case *err == nil:
 		return "ok"
 	case errors.Is(*err, storer.ErrConflict):
 		return "conflict"
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -166,7 +166,7 @@
 		Observer:          observer,
 		Fence:             o.term.Fence,
 		AcquiredAt:        o.term.AcquiredAt,
-		Hold:              min(holdTime, b.MaxHold-holdReserve),
+		Hold:              b.holdTime(),
 		MaxHold:           b.MaxHold,
 		Linger:            lingerTime,
 		StopTime:          b.StopTime,
--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -1,8 +1,9 @@
 package orchestrator
 
 import (
+	"maps"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
@@ -119,10 +120,9 @@
 				}
 				continue
 			}
-			waiting := int64(len(s.waitingTasks(now))) * s.step.Needs.CPUMillis
-			if waiting > 0 {
-				p.demand.stranded = p.demand.stranded || s.stranded(now)
-			}
+			tasks := s.waitingTasks(now)
+			p.demand.stranded = p.demand.stranded || s.stranded(tasks, now)
+			waiting := int64(len(tasks)) * s.step.Needs.CPUMillis
 			if j.planned || s.step.Lasting {
 				p.demand.waitingMillis += waiting
 			} else {
@@ -136,9 +136,9 @@
 // whatever the sum of the gaps.
 const strandedAfter = 400 * time.Millisecond
 
-// stranded reports whether a task of the step waits for long.
-func (s *stepState) stranded(now time.Duration) bool {
-	for _, t := range s.waitingTasks(now) {
+// stranded reports whether one of the step's waiting tasks waits for long.
+func (s *stepState) stranded(waiting []*task, now time.Duration) bool {
+	for _, t := range waiting {
 		if now-max(t.lastEnd, s.occurrence.due) > strandedAfter {
 			return true
 		}
@@ -167,7 +167,7 @@
 		waits[name] = e.expectedWait(p)
 	}
 	var states []QueueState
-	for _, name := range e.sortedQueues() {
+	for _, name := range slices.Sorted(maps.Keys(e.conf.Queues)) {
 		state := QueueState{
 			Queue:   name,
 			Waiting: waiting[name],
@@ -191,12 +191,3 @@
 
 // minReportedWait is the shortest wait that is reported; no caller is refused for less.
 const minReportedWait = 500 * time.Millisecond
-
-func (e *Engine) sortedQueues() []string {
-	names := make([]string, 0, len(e.conf.Queues))
-	for name := range e.conf.Queues {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -78,7 +78,6 @@
 	percent     int
 	progressAt  time.Duration // when percent last rose
 	pace        int
-	paceSent    int
 	paceSentAt  time.Duration
 	figure      float64
 }
--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -96,7 +96,6 @@
 		confirmedAt: now,
 		progressAt:  now,
 		pace:        100,
-		paceSent:    100,
 	}
 	e.attach(a)
 	found.uncertain = false
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -1,7 +1,9 @@
 package orchestrator
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 )
@@ -50,7 +52,7 @@
 		}
 	}
 	left := e.movesPerRound()
-	names := e.sortedPools()
+	names := slices.Sorted(maps.Keys(e.pools))
 	sort.SliceStable(names, func(i, j int) bool { return e.pools[names[i]].shortage(now) > e.pools[names[j]].shortage(now) })
 	for _, name := range names {
 		if !e.spare(name) {
@@ -72,7 +74,7 @@
 		return
 	}
 	e.moves.loggedAt = now
-	for _, name := range e.sortedPools() {
+	for _, name := range slices.Sorted(maps.Keys(e.pools)) {
 		p := e.pools[name]
 		idle := 0
 		for _, t := range p.targets {
@@ -151,7 +153,7 @@
 func (e *Engine) movable(pool string, now time.Duration) []string {
 	var off, idle []string
 	keep := e.floor(moveFloor)
-	for _, id := range sortedVMs(e.wave.vms) {
+	for _, id := range slices.Sorted(maps.Keys(e.wave.vms)) {
 		vm := e.wave.vms[id]
 		if vm.Pool == pool || !e.orderable(vm, now) {
 			continue
@@ -187,7 +189,7 @@
 			lack += max(0, p.shortage(now)-int64(e.moves.pending[p.name])*e.vmSize())
 		}
 	}
-	for _, name := range e.sortedPools() {
+	for _, name := range slices.Sorted(maps.Keys(e.pools)) {
 		p := e.pools[name]
 		surplus := -p.shortage(now)
 		for _, t := range p.targets {
@@ -237,7 +239,7 @@
 func (e *Engine) park(most int, now time.Duration) {
 	keep := e.floor(parkFloor)
 	to := ""
-	for _, name := range sortedPoolNames(e.conf.Pools) {
+	for _, name := range slices.Sorted(maps.Keys(e.conf.Pools)) {
 		if e.spare(name) {
 			to = name
 		}
@@ -245,7 +247,7 @@
 	if to == "" {
 		return
 	}
-	for _, name := range e.sortedPools() {
+	for _, name := range slices.Sorted(maps.Keys(e.pools)) {
 		p := e.pools[name]
 		if e.spare(name) || p.shortage(now)+p.demand.lateMillis > 0 {
 			continue
@@ -292,21 +294,3 @@
 		Pool: to,
 	}, now)
 }
-
-func (e *Engine) sortedPools() []string {
-	names := make([]string, 0, len(e.pools))
-	for name := range e.pools {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
-func sortedPoolNames(pools map[string]Pool) []string {
-	names := make([]string, 0, len(pools))
-	for name := range pools {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
--- a/pkg/orchestrator/observer.go
+++ b/pkg/orchestrator/observer.go
@@ -1,6 +1,10 @@
 package orchestrator
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Observer is told what the engine decides and learns, for metrics. Its methods must
 // not block.
@@ -37,7 +41,7 @@
 // PoolStates returns the state of each pool, by name.
 func (e *Engine) PoolStates(now time.Duration) []PoolState {
 	states := make([]PoolState, 0, len(e.pools))
-	for _, name := range e.sortedPools() {
+	for _, name := range slices.Sorted(maps.Keys(e.pools)) {
 		p := e.pools[name]
 		states = append(states, PoolState{
 			Pool:     name,
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -94,7 +94,6 @@
 	due := s.occurrence.due + e.objective(j)
 	return sequencer.Candidate{
 		Lasting:  s.step.Lasting && !s.step.Filling,
-		Filling:  s.step.Filling,
 		Planned:  j.planned,
 		Excess:   j.excess,
 		Started:  j.started,
@@ -364,7 +363,6 @@
 		orderedAt:  now,
 		progressAt: now,
 		pace:       100,
-		paceSent:   100,
 	}
 	e.attach(a)
 	j := t.step.job
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -1,7 +1,6 @@
 package orchestrator
 
 import (
-	"sort"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
@@ -205,13 +204,3 @@
 		}
 	}
 }
-
-// sortedVMs returns the identifiers in order, so that equal states lead to equal decisions.
-func sortedVMs(vms map[string]VM) []string {
-	ids := make([]string, 0, len(vms))
-	for id := range vms {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
--- a/pkg/sequencer/sequencer.go
+++ b/pkg/sequencer/sequencer.go
@@ -18,8 +18,6 @@
 type Candidate struct {
 	// Lasting tasks are kept running; they take little room and come first.
 	Lasting bool
-	// Filling tasks use what others leave unused.
-	Filling bool
 	// Planned work is expected to end on time in the room that there is.
 	Planned bool
 	// Excess work is beyond what its team may expect to be served.
