--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -9,8 +9,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
-	"net"
-	"net/http"
 	"net/url"
 	"sync"
 	"sync/atomic"
@@ -21,6 +19,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/comfreyford/comfreyford/internal/dispatcher"
+	"github.com/comfreyford/comfreyford/internal/drainer"
 	"github.com/comfreyford/comfreyford/internal/loader"
 	"github.com/comfreyford/comfreyford/internal/messenger"
 	"github.com/comfreyford/comfreyford/internal/recorder"
@@ -76,8 +75,7 @@
 	mover       *planner.Mover
 	recorder    *recorder.Recorder
 	keys        atomic.Pointer[authenticator.Index]
-	servers     []*http.Server
-	listeners   []net.Listener
+	servers     []*drainer.Server // callers first
 	ready       atomic.Bool
 	settled     settled
 	learning    atomic.Bool // the member list is being read for a new peer
@@ -300,7 +298,7 @@
 	}, e.components())
 	e.serve()
 	e.ready.Store(true)
-	e.logger("entry").Info("serving", "name", e.cfg.Settings.Name, "callers", e.listeners[0].Addr().String())
+	e.logger("entry").Info("serving", "name", e.cfg.Settings.Name, "callers", e.servers[0].Address().String())
 	<-ctx.Done()
 	e.drain(context.WithoutCancel(ctx))
 	err := tree.Stop()
@@ -418,7 +416,7 @@
 		e.logger("entry").Warn("requests still running", "error", err)
 	}
 	for _, s := range e.servers {
-		if err := s.Shutdown(ctx); err != nil {
+		if err := s.Stop(ctx); err != nil {
 			e.logger("entry").Warn("connections still open", "error", err)
 		}
 	}
@@ -444,9 +442,6 @@
 	for _, s := range e.servers {
 		_ = s.Close()
 	}
-	for _, l := range e.listeners {
-		_ = l.Close()
-	}
 	e.dispatcher.Close()
 	err := e.messenger.Close()
 	e.wg.Wait()
--- a/internal/coordinator/servers.go
+++ b/internal/coordinator/servers.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"slices"
@@ -15,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/comfreyford/comfreyford/internal/drainer"
 	"github.com/comfreyford/comfreyford/internal/recorder"
 	"github.com/comfreyford/comfreyford/internal/server"
 	"github.com/comfreyford/comfreyford/pkg/configurer"
@@ -68,28 +68,27 @@
 			handler: e.metricsHandler(),
 		},
 	} {
-		l, err := net.Listen("tcp", h.address)
-		if err != nil {
-			for _, open := range e.listeners {
-				_ = open.Close()
-			}
-			return Error.New("%s: %w", h.name, err)
-		}
-		e.listeners = append(e.listeners, l)
-		e.servers = append(e.servers, &http.Server{
+		opened, err := drainer.New(h.address, drainer.Config{
 			Handler:           h.handler,
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			ErrorLog:          e.logger(h.name).StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true}),
 		})
+		if err != nil {
+			for _, open := range e.servers {
+				_ = open.Close()
+			}
+			return Error.New("%s: %w", h.name, err)
+		}
+		e.servers = append(e.servers, opened)
 	}
 	return nil
 }
 
 func (e *Entry) serve() {
-	for i, s := range e.servers {
+	for _, s := range e.servers {
 		e.wg.Go(func() {
-			if err := s.Serve(e.listeners[i]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(); err != nil {
 				e.logger("entry").Error("listener failed", "error", err)
 			}
 		})
--- /dev/null
+++ b/internal/drainer/drainer_test.go
@@ -0,0 +1,139 @@
+package drainer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const eventTimeout = 10 * time.Second
+
+// Callers that go on sending on connections kept open get an answer to each request,
+// until their connections are refused.
+func TestStopInterruptsNoRequest(t *testing.T) {
+	for range 20 {
+		stopUnderLoad(t)
+	}
+}
+
+func stopUnderLoad(t *testing.T) {
+	t.Helper()
+	const callers = 32
+	var served atomic.Int64
+	s, err := New("127.0.0.1:0", Config{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				t.Error(err)
+			}
+			served.Add(1)
+			w.WriteHeader(http.StatusOK)
+		}),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	serving := make(chan error, 1)
+	go func() { serving <- s.Serve() }()
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			client := &http.Client{Transport: transport}
+			for {
+				// A body keeps the transport from repeating the request by itself.
+				res, err := client.Post("http://"+s.Address().String(), "text/plain", io.NopCloser(io.LimitReader(zeros{}, 100)))
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					return
+				}
+				if err != nil {
+					t.Errorf("interrupted: %v", err)
+					return
+				}
+				_, _ = io.Copy(io.Discard, res.Body)
+				_ = res.Body.Close()
+			}
+		})
+	}
+	for served.Load() < 10*callers {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), eventTimeout)
+	defer cancel()
+	if err := s.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	if err := <-serving; err != nil {
+		t.Error(err)
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) {
+	clear(b)
+	return len(b), nil
+}
+
+// A stop that runs out of time leaves the request that is open alone, and says so.
+func TestStopReportsOpenRequests(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	s, err := New("127.0.0.1:0", Config{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			close(started)
+			<-release
+		}),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	serving := make(chan error, 1)
+	go func() { serving <- s.Serve() }()
+	answered := make(chan error, 1)
+	go func() {
+		res, err := http.Get("http://" + s.Address().String())
+		if err == nil {
+			err = res.Body.Close()
+		}
+		answered <- err
+	}()
+	<-started
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	if err := s.Stop(ctx); !errors.Is(err, context.DeadlineExceeded) || s.Open() != 1 {
+		t.Errorf("stop: %v with %d requests open", err, s.Open())
+	}
+	close(release)
+	if err := <-answered; err != nil {
+		t.Error(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := <-serving; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestNewReportsBadAddress(t *testing.T) {
+	first, err := New("127.0.0.1:0", Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := New(first.Address().String(), Config{}); !errors.Is(err, syscall.EADDRINUSE) {
+		t.Errorf("taken address: %v", err)
+	}
+	if err := first.Close(); err != nil {
+		t.Error(err)
+	}
+	if _, err := New("nowhere", Config{}); err == nil {
+		t.Error("malformed address accepted")
+	}
+}
--- /dev/null
+++ b/internal/drainer/listener.go
@@ -0,0 +1,101 @@
+package drainer
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+)
+
+// backlog bounds the connections that are taken over at the close. The kernel's own
+// queue is bounded by net.core.somaxconn, 4096 by default.
+const backlog = 4096
+
+// listener hands out the connections that the system has already established when it
+// is closed. Closing a net.TCPListener resets them, and with them the requests of
+// callers who believe to be connected.
+type listener struct {
+	*net.TCPListener
+	once    sync.Once
+	closing chan struct{} // Close has begun
+	closed  chan struct{} // Close has ended
+	queued  chan net.Conn // established before the close, not yet handed out
+	err     error         // of Close
+}
+
+func listen(address string) (*listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &listener{
+		TCPListener: l.(*net.TCPListener),
+		closing:     make(chan struct{}),
+		closed:      make(chan struct{}),
+		queued:      make(chan net.Conn, backlog),
+	}, nil
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.TCPListener.Accept()
+	if err == nil {
+		return conn, nil
+	}
+	select {
+	case <-l.closing:
+	default:
+		return nil, err
+	}
+	<-l.closed
+	select {
+	case conn := <-l.queued:
+		return conn, nil
+	default:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closing)
+		l.err = errors.Join(l.refuse(), l.TCPListener.Close())
+		close(l.closed)
+	})
+	return Error.Wrap(l.err)
+}
+
+// refuse takes over the established connections, and lets the system refuse others.
+func (l *listener) refuse() error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var established []int
+	var shutdown error
+	err = raw.Control(func(fd uintptr) {
+		for len(established) < backlog {
+			conn, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EINTR) {
+				continue
+			}
+			if err != nil {
+				break // the queue is empty
+			}
+			established = append(established, conn)
+		}
+		shutdown = syscall.Shutdown(int(fd), syscall.SHUT_RD)
+	})
+	problems := []error{err, shutdown}
+	for _, fd := range established {
+		f := os.NewFile(uintptr(fd), "")
+		conn, err := net.FileConn(f)
+		problems = append(problems, err, f.Close())
+		if err == nil {
+			l.queued <- conn
+		}
+	}
+	return errors.Join(problems...)
+}
