Tell the runs of a gang apart

Cause: a target's runs were known by their number alone, and the members of a gang share one. Of two members on one target the second replaced the first: its room was never freed, its run was stopped as unexpected, and the gang did not start again. Besides, a gang that lacked a member waited for its targets to give it up (ends "alone"), members could start from different checkpoints, failures counted for each member alone, and a gang could cross the upper limit of its team by any amount.

Ruled out: placement (19 of 19 targets usable, gang of 4 x 3 cores), limits (a sixth used), advice (none on these queues).

Runs are known by number and task; gang.go stops what is left of a gang that lacks a member, keeps one checkpoint and one count of failures for all members, and lets only the last task cross a limit.

world_test.go is split: the fake targets have a file of their own.

--- a/pkg/orchestrator/attempt.go
+++ b/pkg/orchestrator/attempt.go
@@ -23,7 +23,7 @@
 // attach adds a run to its task and target.
 func (e *Engine) attach(a *attempt) {
 	a.task.attempts = append(a.task.attempts, a)
-	a.target.attempts[a.run] = a
+	a.target.attempts[a.key()] = a
 	reserved := a.task.step.step.Reserved()
 	a.target.used = a.target.used.Plus(reserved)
 	a.target.count(a.task.step.step, 1)
@@ -43,10 +43,11 @@
 
 // detach removes a run from its task and target.
 func (e *Engine) detach(a *attempt) {
-	if a.target.attempts[a.run] != a {
+	key := a.key()
+	if a.target.attempts[key] != a {
 		return
 	}
-	delete(a.target.attempts, a.run)
+	delete(a.target.attempts, key)
 	a.target.used = a.target.used.Minus(a.task.step.step.Reserved())
 	a.target.count(a.task.step.step, -1)
 	team := a.task.step.job.doc.Team
@@ -67,9 +68,7 @@
 	if t.done {
 		return
 	}
-	if checkpoint != "" {
-		t.checkpoint = checkpoint
-	}
+	t.save(checkpoint)
 	if how == EndFailed {
 		t.notBefore = now + retryDelay
 	}
@@ -189,8 +188,8 @@
 		return
 	}
 	t.sync(answer.ClockMS, answer.ReceivedAt)
-	a := t.attempts[answer.Order.Run]
-	if a == nil || a.task.id() != answer.Order.Task {
+	a := t.attempts[answer.Order.run()]
+	if a == nil {
 		return
 	}
 	if answer.Outcome == OutcomeOK {
@@ -228,7 +227,7 @@
 		return
 	}
 	t.sync(answer.ClockMS, answer.ReceivedAt)
-	a := t.attempts[answer.Order.Run]
+	a := t.attempts[answer.Order.run()]
 	if a != nil && answer.Outcome == OutcomeOK && a.stoppedAt == 0 {
 		a.stoppedAt = answer.ReceivedAt
 	}
--- a/pkg/orchestrator/fixtures_test.go
+++ b/pkg/orchestrator/fixtures_test.go
@@ -87,3 +87,11 @@
 		}},
 	}
 }
+
+// gangJob returns a job of one step whose tasks work only together.
+func gangJob(id, team string, durationMS int64, width int) *jobkeeper.Job {
+	j := testJob(id, team, durationMS, width)
+	j.Steps[0].Gang = true
+	j.Steps[0].Checkpointing = true
+	return j
+}
--- /dev/null
+++ b/pkg/orchestrator/gang_test.go
@@ -0,0 +1,142 @@
+package orchestrator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/orchestrator"
+)
+
+// The members of a gang share a run number, also where several run on one target.
+func TestGangSharesTargets(t *testing.T) {
+	w := newDesk(t, 2)
+	for i := range 5 {
+		w.submit(gangJob(fmt.Sprintf("j%d", i), "schools", 300, 6))
+	}
+	done := func() bool {
+		for i := range 5 {
+			if w.state(fmt.Sprintf("j%d", i)) != jobkeeper.StateComplete {
+				return false
+			}
+		}
+		return true
+	}
+	if !w.runUntil(5*time.Second, done) {
+		t.Error("five gangs of 300 ms are not complete after 5 s")
+	}
+	for task, n := range w.starts {
+		if n != 1 {
+			t.Errorf("%s started %d times", task, n)
+		}
+	}
+	w.verify()
+}
+
+// A gang that lacks a member does nothing but hold room: it must not wait for the
+// targets to give it up.
+func TestGangWithoutAllMembersStartsAnew(t *testing.T) {
+	cases := []struct {
+		name string
+		harm func(w *world)
+	}{
+		{
+			name: "a member was refused",
+			harm: func(w *world) { w.targets["t0"].refusing = 1 },
+		},
+		{
+			name: "the owner was replaced between two orders",
+			harm: func(w *world) {
+				w.targets["t1"].reachable = false
+				w.run(50 * time.Millisecond)
+				w.targets["t1"].reachable = true
+				w.takeOver()
+			},
+		},
+		{
+			name: "a start was not answered",
+			harm: func(w *world) {
+				w.targets["t1"].mute = true
+				w.run(50 * time.Millisecond)
+				w.targets["t1"].mute = false
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newDesk(t, 2)
+			w.submit(gangJob("a", "schools", 300, 6))
+			c.harm(w)
+			if !w.runUntil(6*time.Second, func() bool { return w.state("a") == jobkeeper.StateComplete }) {
+				t.Errorf("state is %s, want complete", w.state("a"))
+			}
+			if w.alone > 0 {
+				t.Errorf("%d members waited for the others in vain", w.alone)
+			}
+			w.verify()
+		})
+	}
+}
+
+// Each run of a gang ends with one failed member, a different one each time; the gang
+// has no more attempts than a single task.
+func TestFailuresOfAGangCountTogether(t *testing.T) {
+	w := newDesk(t, 2)
+	w.targets["t0"].failing = true
+	w.targets["t1"].failing = true
+	w.submit(gangJob("a", "schools", 300, 6))
+	if !w.runUntil(10*time.Second, func() bool { return w.state("a") == jobkeeper.StateFailed }) {
+		t.Errorf("state is %s, want failed", w.state("a"))
+	}
+	if got, want := w.starts["a.0.0.0"], w.conf.Queues["quotes"].MaxAttempts; got != want {
+		t.Errorf("the gang ran %d times, want %d", got, want)
+	}
+	w.verify()
+}
+
+// The members of a gang start from the same checkpoint, whichever member saved it.
+func TestGangResumesFromOneCheckpoint(t *testing.T) {
+	w := newDesk(t, 2)
+	w.submit(gangJob("a", "schools", 1000, 6))
+	w.run(500 * time.Millisecond)
+	task := w.targets["t0"].sortedRuns()[0]
+	w.endRun(w.targets["t0"], task, orchestrator.EndStopped)
+	if !w.runUntil(5*time.Second, func() bool { return w.state("a") == jobkeeper.StateComplete }) {
+		t.Errorf("state is %s, want complete", w.state("a"))
+	}
+	resumed := 0
+	for _, from := range w.gangCheckpoints {
+		if from != "" {
+			resumed++
+		}
+	}
+	if resumed != 1 {
+		t.Errorf("%d runs started from a checkpoint, want 1", resumed)
+	}
+	w.verify()
+}
+
+// Only the last task of a gang may cross the upper limit of its team.
+func TestGangKeepsTheUpperLimit(t *testing.T) {
+	cases := []struct {
+		width int
+		runs  bool
+	}{
+		{
+			width: 5, // 10 cores; 8 are allowed, and a task takes 2
+			runs:  true,
+		},
+		{
+			width: 6,
+		},
+	}
+	for _, c := range cases {
+		w := newDesk(t, 4)
+		w.submit(gangJob("a", "clubs", 300, c.width))
+		w.run(2 * time.Second)
+		if got := w.starts["a.0.0.0"] > 0; got != c.runs {
+			t.Errorf("a gang of %d: started is %t, want %t", c.width, got, c.runs)
+		}
+	}
+}
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -82,6 +82,19 @@
 	figure      float64
 }
 
+// runKey identifies a run on a target: the members of a gang share its number.
+type runKey struct {
+	run  uint64
+	task jobkeeper.TaskID
+}
+
+func (a *attempt) key() runKey {
+	return runKey{
+		run:  a.run,
+		task: a.task.id(),
+	}
+}
+
 // phase is where a run stands.
 type phase int
 
--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -35,9 +35,9 @@
 	for _, end := range l.Ended {
 		e.ended(t, end, now, nowMS)
 	}
-	present := map[uint64]bool{}
+	present := map[runKey]bool{}
 	for _, r := range l.Running {
-		present[r.Run] = true
+		present[r.key()] = true
 		e.running(t, r, now)
 	}
 	e.missing(t, present, l, now)
@@ -45,7 +45,7 @@
 
 // running takes an entry of a list of running tasks into account.
 func (e *Engine) running(t *target, r Run, now time.Duration) {
-	a := t.attempts[r.Run]
+	a := t.attempts[r.key()]
 	if a == nil {
 		a = e.adopt(t, r, now)
 		if a == nil {
@@ -57,9 +57,7 @@
 		a.confirmedAt = now
 		a.progressAt = now
 	}
-	if r.Checkpoint != "" {
-		a.task.checkpoint = r.Checkpoint
-	}
+	a.task.save(r.Checkpoint)
 	if r.Percent != a.percent {
 		a.progressAt = now
 	}
@@ -105,9 +103,9 @@
 }
 
 // missing ends runs that a list should name and does not.
-func (e *Engine) missing(t *target, present map[uint64]bool, l Listing, now time.Duration) {
+func (e *Engine) missing(t *target, present map[runKey]bool, l Listing, now time.Duration) {
 	for _, a := range t.sortedAttempts() {
-		if present[a.run] {
+		if present[a.key()] {
 			continue
 		}
 		confirmedBefore := a.confirmedAt > 0 && a.confirmedAt < l.SentAt
@@ -128,10 +126,7 @@
 	}
 	t.seen = end.Number
 	e.cfg.Observer.TaskEnd(t.Pool, string(end.How))
-	a := t.attempts[end.Run]
-	if a != nil && a.task.id() != end.Task {
-		a = nil
-	}
+	a := t.attempts[end.key()]
 	if a == nil {
 		e.endedElsewhere(t, end, now, nowMS)
 		return
@@ -152,8 +147,8 @@
 		return
 	}
 	e.cfg.Logger.Info("end of an earlier run", "task", end.Task.String(), "run", end.Run, "target", t.ID, "how", end.How)
-	if end.Checkpoint != "" && len(found.attempts) == 0 {
-		found.checkpoint = end.Checkpoint
+	if len(found.attempts) == 0 {
+		found.save(end.Checkpoint)
 	}
 	e.settle(found, t, end, now, nowMS)
 }
@@ -177,7 +172,7 @@
 	case EndFailed:
 		e.stats.Failed++
 		t.avoid = on.ID
-		if lasting || !t.fail(end.Run) {
+		if lasting || !t.noteFailure(end.Run) {
 			return
 		}
 		e.blame(t, on, now)
--- a/pkg/orchestrator/orchestrator_test.go
+++ b/pkg/orchestrator/orchestrator_test.go
@@ -331,11 +331,16 @@
 		jobs := 0
 		for range rapid.IntRange(10, 40).Draw(rt, "events") {
 			f := w.targets[rapid.SampledFrom(ids).Draw(rt, "target")]
-			switch rapid.SampledFrom([]string{"job", "job", "cut", "heal", "crash", "mute", "speak", "fail", "mend", "takeover", "store", "late", "cancel", "unlist"}).Draw(rt, "event") {
+			switch rapid.SampledFrom([]string{"job", "job", "gang", "refuse", "cut", "heal", "crash", "mute", "speak", "fail", "mend", "takeover", "store", "late", "cancel", "unlist"}).Draw(rt, "event") {
 			case "job":
 				jobs++
 				w.submit(testJob(fmt.Sprintf("j%d", jobs), rapid.SampledFrom([]string{"schools", "clubs"}).Draw(rt, "team"),
 					rapid.Int64Range(50, 1500).Draw(rt, "duration"), rapid.IntRange(1, 6).Draw(rt, "width"), rapid.IntRange(1, 3).Draw(rt, "second width")))
+			case "gang":
+				jobs++
+				w.submit(gangJob(fmt.Sprintf("j%d", jobs), "schools", rapid.Int64Range(50, 1500).Draw(rt, "duration"), rapid.IntRange(2, 10).Draw(rt, "width")))
+			case "refuse":
+				f.refusing = rapid.IntRange(1, 3).Draw(rt, "refused")
 			case "cut":
 				f.reachable = false
 			case "heal":
--- a/pkg/orchestrator/order.go
+++ b/pkg/orchestrator/order.go
@@ -45,6 +45,14 @@
 	Wave int    // upkeeps
 }
 
+// run returns the run that a start, stop or pace is about.
+func (o *Order) run() runKey {
+	return runKey{
+		run:  o.Run,
+		task: o.Task,
+	}
+}
+
 // Outcome is what became of an order.
 type Outcome string
 
@@ -92,6 +100,13 @@
 	Figure     float64 // tail of response times in ms if the task serves, processors in use otherwise
 }
 
+func (r *Run) key() runKey {
+	return runKey{
+		run:  r.Run,
+		task: r.Task,
+	}
+}
+
 // Ending is how a run ended.
 type Ending string
 
@@ -114,6 +129,13 @@
 	Checkpoint string
 }
 
+func (e *End) key() runKey {
+	return runKey{
+		run:  e.Run,
+		task: e.Task,
+	}
+}
+
 // Listing is a target's answer to a HoldPlan.
 type Listing struct {
 	Plan       HoldPlan
--- a/pkg/orchestrator/pace.go
+++ b/pkg/orchestrator/pace.go
@@ -83,7 +83,7 @@
 	if t == nil || answer.Outcome == OutcomeOK {
 		return
 	}
-	if a := t.attempts[answer.Order.Run]; a != nil && a.pace == answer.Order.Percent {
+	if a := t.attempts[answer.Order.run()]; a != nil && a.pace == answer.Order.Percent {
 		a.pace = min(100, max(answer.Order.Percent*2, paceFloor))
 	}
 }
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -48,6 +48,10 @@
 				if !s.hasWaiting(now) || !s.ready() {
 					continue
 				}
+				if s.step.Gang && s.running() {
+					e.dissolve(s, now)
+					continue
+				}
 				groups[name] = append(groups[name], group{
 					step:      s,
 					candidate: e.candidate(s, now),
@@ -199,7 +203,7 @@
 			e.waits(g, p, waitLimit, now)
 			return true
 		}
-		i := e.choose(g.step, t, views, now)
+		i := e.choose(g.step, t, g.step.rack(), views, now)
 		if i < 0 {
 			return t.avoid != ""
 		}
@@ -209,36 +213,6 @@
 	return true
 }
 
-// startGang places all tasks of a step or none.
-func (e *Engine) startGang(p *pool, g group, views []packer.Target, now time.Duration) bool {
-	step := g.step.step
-	waiting := g.step.waitingTasks(now)
-	if len(waiting) < len(g.step.tasks) || !e.withinLimit(g.step.job.doc.Team, step.Needs.Times(int64(len(waiting)))) {
-		e.waits(g, p, waitLimit, now)
-		return true
-	}
-	original := append([]packer.Target(nil), views...)
-	chosen := make([]int, 0, len(waiting))
-	rack := ""
-	for _, t := range waiting {
-		i := packer.Choose(e.request(g.step, rack), e.withoutAvoided(t, views))
-		if i < 0 {
-			copy(views, original)
-			return false
-		}
-		if step.SameRack {
-			rack = views[i].Rack
-		}
-		place(&views[i], step)
-		chosen = append(chosen, i)
-	}
-	run := e.nextRun()
-	for n, t := range waiting {
-		e.launch(t, p.targets[chosen[n]], run, now)
-	}
-	return true
-}
-
 func place(v *packer.Target, step *jobkeeper.Step) {
 	v.Used = v.Used.Plus(step.Reserved())
 	v.SameStep++
@@ -253,8 +227,8 @@
 
 // choose picks a target for a task; it falls back on slow targets and on the one
 // that failed it when nothing else is left.
-func (e *Engine) choose(s *stepState, t *task, views []packer.Target, now time.Duration) int {
-	request := e.request(s, s.rack())
+func (e *Engine) choose(s *stepState, t *task, rack string, views []packer.Target, now time.Duration) int {
+	request := e.request(s, rack)
 	if i := packer.Choose(request, e.withoutAvoided(t, views)); i >= 0 {
 		return i
 	}
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -43,7 +43,7 @@
 	recorded    uint64        // ends up to this number are in the store
 	acked       uint64        // ends up to this number were acknowledged
 	born        int64
-	attempts    map[uint64]*attempt // by run
+	attempts    map[runKey]*attempt
 	used        jobkeeper.Resources
 	serving     int // runs whose response times matter
 	filling     int // runs that use what others leave
@@ -89,7 +89,7 @@
 	}
 	if t == nil {
 		t = &target{
-			attempts: map[uint64]*attempt{},
+			attempts: map[runKey]*attempt{},
 			slowdown: 1,
 			born:     r.Born,
 		}
@@ -308,6 +308,9 @@
 	for _, a := range t.attempts {
 		attempts = append(attempts, a)
 	}
-	sort.Slice(attempts, func(i, j int) bool { return attempts[i].run < attempts[j].run })
+	sort.Slice(attempts, func(i, j int) bool {
+		a, b := attempts[i], attempts[j]
+		return a.run < b.run || a.run == b.run && a.task.index < b.task.index
+	})
 	return attempts
 }
--- a/pkg/orchestrator/world_test.go
+++ b/pkg/orchestrator/world_test.go
@@ -35,6 +35,9 @@
 	roster  []string
 	targets map[string]*fakeTarget
 	late    []lateOrder
+	// gangCheckpoints are the checkpoints from which runs of gangs started.
+	gangCheckpoints map[runKey]string
+	alone           int // runs that ended because the rest of their gang did not come
 	// cancelled jobs must not start again.
 	cancelled map[string]bool
 	storeDown bool
@@ -45,34 +48,6 @@
 	maxUsed   map[string]jobkeeper.Resources
 }
 
-// fakeTarget is a target with its VM.
-type fakeTarget struct {
-	orchestrator.Registration
-	registered bool
-	reachable  bool
-	crashed    bool
-	mute       bool // orders are carried out and not answered
-	fence      storer.Version
-	deadline   time.Duration
-	runs       map[uint64]*fakeRun
-	ended      []orchestrator.End
-	number     uint64
-	stopped    map[uint64]bool
-	state      orchestrator.VMState
-	failing    bool
-	frozen     bool // tasks make no progress
-}
-
-type fakeRun struct {
-	task     jobkeeper.TaskID
-	run      uint64
-	started  time.Duration
-	duration time.Duration
-	lasting  bool
-	percent  int
-	needs    jobkeeper.Resources
-}
-
 type lateOrder struct {
 	at    time.Duration
 	order orchestrator.Order
@@ -92,6 +67,8 @@
 		noted:     map[string]bool{},
 		starts:    map[string]int{},
 		maxUsed:   map[string]jobkeeper.Resources{},
+
+		gangCheckpoints: map[runKey]string{},
 	}
 	return w
 }
@@ -167,8 +144,8 @@
 		},
 		registered: true,
 		reachable:  true,
-		runs:       map[uint64]*fakeRun{},
-		stopped:    map[uint64]bool{},
+		runs:       map[runKey]*fakeRun{},
+		stopped:    map[runKey]bool{},
 		state:      orchestrator.VMUp,
 	}
 	w.targets[id] = f
@@ -219,64 +196,6 @@
 	w.check()
 }
 
-// advance ends the runs that are done or whose lease has lapsed.
-func (w *world) advance() {
-	for _, id := range sortedKeys(w.targets) {
-		f := w.targets[id]
-		for _, run := range sortedKeys(f.runs) {
-			r := f.runs[run]
-			elapsed := w.now - r.started
-			switch {
-			case w.now > f.deadline:
-				f.end(r, orchestrator.EndLapsed)
-			case f.frozen:
-			case f.failing && elapsed > 100*time.Millisecond:
-				f.end(r, orchestrator.EndFailed)
-			case r.lasting:
-				r.percent = 100
-			case elapsed >= r.duration:
-				f.end(r, orchestrator.EndDone)
-			default:
-				r.percent = int(100 * elapsed / r.duration)
-			}
-		}
-	}
-}
-
-func (f *fakeTarget) end(r *fakeRun, how orchestrator.Ending) {
-	delete(f.runs, r.run)
-	f.number++
-	f.ended = append(f.ended, orchestrator.End{
-		Number: f.number,
-		Task:   r.task,
-		Run:    r.run,
-		How:    how,
-	})
-}
-
-// crash ends a target's life without a trace.
-func (w *world) crash(f *fakeTarget) {
-	f.crashed = true
-	f.reachable = false
-	f.runs = map[uint64]*fakeRun{}
-	f.state = orchestrator.VMDown
-}
-
-// restart begins a new life of a crashed target under the same identifier.
-func (w *world) restart(f *fakeTarget) {
-	f.crashed = false
-	f.reachable = true
-	f.Born++
-	f.fence = 0
-	f.number = 0
-	f.ended = nil
-	f.deadline = 0
-	f.stopped = map[uint64]bool{}
-	f.state = orchestrator.VMUp
-	f.registered = true
-	w.engine.Register(f.Registration, w.now)
-}
-
 func (w *world) list() {
 	for _, id := range sortedKeys(w.targets) {
 		f := w.targets[id]
@@ -300,8 +219,7 @@
 			SentAt:     w.now,
 			ReceivedAt: w.now + time.Millisecond,
 		}
-		for _, run := range sortedKeys(f.runs) {
-			r := f.runs[run]
+		for _, r := range f.sortedRuns() {
 			l.Running = append(l.Running, orchestrator.Run{
 				Task:    r.task,
 				Run:     r.run,
@@ -388,77 +306,6 @@
 	w.late = kept
 }
 
-func (w *world) orderTarget(f *fakeTarget, o orchestrator.Order) orchestrator.Outcome {
-	if o.Fence < f.fence {
-		return orchestrator.OutcomeFenced
-	}
-	f.fence = o.Fence
-	switch o.Kind {
-	case orchestrator.KindStop:
-		f.stopped[o.Run] = true
-		if r := f.runs[o.Run]; r != nil {
-			f.end(r, orchestrator.EndStopped)
-		}
-	case orchestrator.KindStart:
-		return w.startOn(f, o)
-	}
-	return orchestrator.OutcomeOK
-}
-
-func (w *world) startOn(f *fakeTarget, o orchestrator.Order) orchestrator.Outcome {
-	step := w.jobs[o.Task.Job].Steps[o.Task.Step]
-	switch {
-	case f.runs[o.Run] != nil:
-		return orchestrator.OutcomeOK
-	case f.stopped[o.Run]:
-		return orchestrator.OutcomeOld
-	case time.Duration(o.DeadlineMS)*time.Millisecond < w.now:
-		return orchestrator.OutcomeLate
-	case !step.Reserved().FitsIn(f.Capacity.Minus(f.used())):
-		f.extend(o.DeadlineMS, w.now)
-		return orchestrator.OutcomeNoRoom
-	}
-	f.extend(o.DeadlineMS, w.now)
-	f.runs[o.Run] = &fakeRun{
-		task:     o.Task,
-		run:      o.Run,
-		started:  w.now,
-		duration: time.Duration(step.EstimateMS) * time.Millisecond,
-		lasting:  step.Lasting,
-		needs:    step.Reserved(),
-	}
-	w.starts[o.Task.String()]++
-	w.checkStart(o)
-	return orchestrator.OutcomeOK
-}
-
-func (f *fakeTarget) used() jobkeeper.Resources {
-	var sum jobkeeper.Resources
-	for _, r := range f.runs {
-		sum = sum.Plus(r.needs)
-	}
-	return sum
-}
-
-// orderVM ends the life of the target on a VM and begins a new one at once.
-func (w *world) orderVM(o orchestrator.Order) orchestrator.Outcome {
-	for _, f := range w.targets {
-		if f.VM != o.VM {
-			continue
-		}
-		f.runs = map[uint64]*fakeRun{}
-		f.Born++
-		f.fence, f.number, f.deadline, f.ended = 0, 0, 0, nil
-		f.stopped = map[uint64]bool{}
-		if o.Kind == orchestrator.KindMove {
-			f.Pool = o.Pool
-		}
-		w.engine.Register(f.Registration, w.now)
-		return orchestrator.OutcomeOK
-	}
-	return orchestrator.OutcomeInvalid
-}
-
 // record writes what the engine asks for, unless the store is down.
 func (w *world) record() {
 	b := w.engine.TakeChanges(w.now)
@@ -482,6 +329,18 @@
 
 // checkStart checks what must hold when a target starts a task.
 func (w *world) checkStart(o orchestrator.Order) {
+	if w.jobs[o.Task.Job].Steps[o.Task.Step].Gang {
+		task := o.Task
+		task.Index = 0
+		key := runKey{
+			run:  o.Run,
+			task: task,
+		}
+		if first, known := w.gangCheckpoints[key]; known && first != o.Checkpoint {
+			w.fail("%s started from %q, another member from %q", o.Task, o.Checkpoint, first)
+		}
+		w.gangCheckpoints[key] = o.Checkpoint
+	}
 	if w.noted[o.Task.String()] && !w.jobs[o.Task.Job].Steps[o.Task.Step].Lasting {
 		w.fail("%s started after its end was acknowledged", o.Task)
 	}
