Count the room of runs that have to end

Cause: a new owner stops runs that it has no use for (their job has ended, or their gang is done) and did not count them, so it placed tasks on top of them. Ruled out: late orders of the earlier owner (fenced by the list under the new fence), two owners (one acquisition in the log).

A target with such runs is closed until a list no longer shows them, and it is listed until then.

--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -36,20 +36,24 @@
 		e.ended(t, end, now, nowMS)
 	}
 	present := map[runKey]bool{}
+	t.foreign = 0
 	for _, r := range l.Running {
 		present[r.key()] = true
-		e.running(t, r, now)
+		if !e.running(t, r, now) {
+			t.foreign++
+		}
 	}
 	e.missing(t, present, l, now)
 }
 
-// running takes an entry of a list of running tasks into account.
-func (e *Engine) running(t *target, r Run, now time.Duration) {
+// running takes an entry of a list of running tasks into account. It returns false if
+// the run has to end.
+func (e *Engine) running(t *target, r Run, now time.Duration) bool {
 	a := t.attempts[r.key()]
 	if a == nil {
 		a = e.adopt(t, r, now)
 		if a == nil {
-			return
+			return false
 		}
 	}
 	if a.phase == phaseOrdered || a.phase == phaseUncertain {
@@ -64,6 +68,7 @@
 	a.percent = r.Percent
 	a.figure = r.Figure
 	e.observeSpeed(a, now)
+	return true
 }
 
 // adopt takes over a run that this engine did not order, or stops it.
--- a/pkg/orchestrator/orchestrator_test.go
+++ b/pkg/orchestrator/orchestrator_test.go
@@ -321,6 +321,23 @@
 	}
 }
 
+// A new owner finds runs of a job that has ended meanwhile. Until they are gone they
+// take room, also on a target that does not count it itself.
+func TestRunsThatHaveToEndTakeRoom(t *testing.T) {
+	w := newDesk(t, 1)
+	w.targets["t0"].unguarded = true
+	w.targets["t0"].stopTime = 200 * time.Millisecond
+	w.submit(testJob("a", "schools", 2000, 4))
+	w.run(500 * time.Millisecond)
+	w.cancelled["a"] = true
+	w.submit(testJob("b", "schools", 300, 4))
+	w.takeOver()
+	if !w.runUntil(3*time.Second, func() bool { return w.state("b") == jobkeeper.StateComplete }) {
+		t.Errorf("state is %s, want complete", w.state("b"))
+	}
+	w.verify()
+}
+
 // TestNothingRunsTwiceUnderFaults plays random faults: targets that can't be
 // reached, crash, restart, answer nothing or fail everything, takeovers, and a
 // store that is away.
@@ -328,6 +345,10 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newDesk(t, 4)
 		ids := sortedKeys(w.targets)
+		for i, id := range ids {
+			w.targets[id].unguarded = i%2 == 0
+			w.targets[id].stopTime = time.Duration(i) * 70 * time.Millisecond
+		}
 		jobs := 0
 		for range rapid.IntRange(10, 40).Draw(rt, "events") {
 			f := w.targets[rapid.SampledFrom(ids).Draw(rt, "target")]
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -44,6 +44,7 @@
 	acked       uint64        // ends up to this number were acknowledged
 	born        int64
 	attempts    map[runKey]*attempt
+	foreign     int // listed runs that are no attempts: they are being stopped and take room
 	used        jobkeeper.Resources
 	serving     int // runs whose response times matter
 	filling     int // runs that use what others leave
@@ -202,7 +203,7 @@
 	switch {
 	case !t.registered, t.Draining, t.evacuating, t.removing, t.dead, t.yielding:
 		return false
-	case !t.listed, t.failedAt != 0, now < t.closedUntil:
+	case !t.listed, t.foreign > 0, t.failedAt != 0, now < t.closedUntil:
 		return false
 	case !e.roster.recorded(t.ID):
 		return false
@@ -265,7 +266,7 @@
 	plan := HoldPlan{
 		Target: t.Endpoint,
 		Fence:  e.cfg.Fence,
-		Idle:   t.dead || t.listed && len(t.attempts) == 0 && t.acked >= t.seen && (t.failedAt == 0 || !t.registered),
+		Idle:   t.dead || t.listed && t.foreign == 0 && len(t.attempts) == 0 && t.acked >= t.seen && (t.failedAt == 0 || !t.registered),
 	}
 	if t.recorded > t.acked && t.failedAt == 0 {
 		plan.Acknowledged = t.recorded
--- a/pkg/orchestrator/targets_test.go
+++ b/pkg/orchestrator/targets_test.go
@@ -22,7 +22,9 @@
 	runs       map[runKey]*fakeRun
 	ended      []orchestrator.End
 	number     uint64
-	refusing   int // starts that are refused for want of room, whatever runs
+	unguarded  bool          // starts whatever it is told to
+	stopTime   time.Duration // how long a stop takes
+	refusing   int           // starts that are refused for want of room, whatever runs
 	stopped    map[runKey]bool
 	state      orchestrator.VMState
 	failing    bool
@@ -42,6 +44,7 @@
 	lasting  bool
 	saves    bool
 	gang     int           // number of members; zero for other runs
+	stopAt   time.Duration // when a stop takes effect; zero without one
 	working  time.Duration // when all members of the gang were present
 	percent  int
 	needs    jobkeeper.Resources
@@ -56,6 +59,10 @@
 				continue // ended with another member of its gang
 			}
 			elapsed := w.now - r.started
+			if r.stopAt > 0 && w.now >= r.stopAt {
+				w.endRun(f, r, orchestrator.EndStopped)
+				continue
+			}
 			if r.gang > 0 && w.now <= f.deadline {
 				w.advanceGang(f, r)
 				continue
@@ -205,7 +212,10 @@
 	case orchestrator.KindStop:
 		f.stopped[orderKey(o)] = true
 		if r := f.runs[orderKey(o)]; r != nil {
-			w.endRun(f, r, orchestrator.EndStopped)
+			r.stopAt = max(r.stopAt, w.now+f.stopTime)
+			if f.stopTime == 0 {
+				w.endRun(f, r, orchestrator.EndStopped)
+			}
 		}
 	case orchestrator.KindStart:
 		return w.startOn(f, o)
@@ -225,7 +235,7 @@
 		return orchestrator.OutcomeOld
 	case time.Duration(o.DeadlineMS)*time.Millisecond < w.now:
 		return orchestrator.OutcomeLate
-	case !step.Reserved().FitsIn(f.Capacity.Minus(f.used())):
+	case !f.unguarded && !step.Reserved().FitsIn(f.Capacity.Minus(f.used())):
 		f.extend(o.DeadlineMS, w.now)
 		return orchestrator.OutcomeNoRoom
 	}
