Count VMs under way for the pool they were ordered to

Cause: a VM that was ordered to move counted for its old pool until a list showed the move, 0.4 s later, so up to two further rounds ordered the same VMs again; and VMs for tasks that wait although there is room were chosen without looking at their labels and sizes.

Ruled out: the rate of orders (215 a second allowed, 66 used at most).

TestBurstGetsTheVMsThatItNeeds failed first: 8 VMs moved for a job that lacks two, now 3 (one for what is expected to arrive). TestLabelledTaskGetsAVMWithItsLabel failed first: 10 moves for one task.

--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -19,8 +19,18 @@
 	waitingJobs   int   // accepted jobs of which no task has started
 	backlogMS     int64 // core-milliseconds of all work that is left
 	usable        int   // targets that may get new work
-	stranded      bool  // a task waits longer than strandedAfter
 	lastingMillis int64 // reserved by lasting tasks, whether they run or wait
+	// strandedStep has tasks that wait longer than strandedAfter, strandedTasks of them;
+	// steps that need a label go first. Nil if there is none.
+	strandedStep  *jobkeeper.Step
+	strandedTasks int
+}
+
+// strand notes that so many tasks of a step wait for a place.
+func (d *demand) strand(step *jobkeeper.Step, tasks int) {
+	if tasks > 0 && (d.strandedStep == nil || d.strandedStep.Label == "" && step.Label != "") {
+		d.strandedStep, d.strandedTasks = step, tasks
+	}
 }
 
 // offeredLoad estimates the work that arrives, in thousandths of a core that it
@@ -121,7 +131,7 @@
 				continue
 			}
 			tasks := s.waitingTasks(now)
-			p.demand.stranded = p.demand.stranded || s.stranded(tasks, now)
+			p.demand.strand(s.step, s.stranded(tasks, now))
 			waiting := int64(len(tasks)) * s.step.Needs.CPUMillis
 			if j.planned || s.step.Lasting {
 				p.demand.waitingMillis += waiting
@@ -136,14 +146,15 @@
 // whatever the sum of the gaps.
 const strandedAfter = 400 * time.Millisecond
 
-// stranded reports whether one of the step's waiting tasks waits for long.
-func (s *stepState) stranded(waiting []*task, now time.Duration) bool {
+// stranded returns how many of the step's waiting tasks wait for long.
+func (s *stepState) stranded(waiting []*task, now time.Duration) int {
+	n := 0
 	for _, t := range waiting {
 		if now-max(t.lastEnd, s.occurrence.due) > strandedAfter {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // QueueState is what the owner tells the other daemons of a queue.
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -6,6 +6,9 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/packer"
 )
 
 const (
@@ -48,15 +51,16 @@
 	e.moves.pending = map[string]int{}
 	for id := range e.wave.busy {
 		if vm, ok := e.wave.vms[id]; ok {
-			e.moves.pending[vm.Pool]++
+			e.moves.pending[e.wave.destination(&vm)]++
 		}
 	}
 	left := e.movesPerRound()
 	names := slices.Sorted(maps.Keys(e.pools))
 	sort.SliceStable(names, func(i, j int) bool { return e.pools[names[i]].shortage(now) > e.pools[names[j]].shortage(now) })
 	for _, name := range names {
-		if !e.spare(name) {
-			left -= e.fill(e.pools[name], e.pools[name].shortage(now), left, now)
+		if p := e.pools[name]; !e.spare(name) {
+			left -= e.rescue(p, left, now)
+			left -= e.fill(p, p.shortage(now), left, now)
 		}
 	}
 	e.yield(now)
@@ -119,16 +123,46 @@
 func (p *pool) shortage(now time.Duration) int64 {
 	present := p.demand.busyMillis + p.demand.waitingMillis + int64(comingShare*float64(p.demand.comingMillis))
 	expected := p.demand.lastingMillis + int64(p.offered.rate(now))
-	lack := max(present, expected) - p.demand.capacity
-	if p.demand.stranded {
-		// Gaps add up to enough room, but none of them holds the task.
-		lack = max(lack, strandedLack)
+	return max(present, expected) - p.demand.capacity
+}
+
+// rescue moves VMs to a pool for tasks that wait although its gaps may add up to enough
+// room: none of them is large enough, has the label, or is on another target. It
+// returns how many.
+func (e *Engine) rescue(p *pool, most int, now time.Duration) int {
+	step := p.demand.strandedStep
+	if step == nil {
+		return 0
+	}
+	wanted := 1
+	if step.PerTarget > 0 {
+		wanted = (p.demand.strandedTasks + step.PerTarget - 1) / step.PerTarget
+	}
+	for id := range e.wave.bound {
+		if vm := e.wave.vms[id]; e.wave.destination(&vm) == p.name && vm.holds(step) {
+			wanted--
+		}
+	}
+	moved := 0
+	for _, id := range e.movable(p.name, now) {
+		if moved >= min(wanted, most) {
+			break
+		}
+		if vm := e.wave.vms[id]; vm.holds(step) {
+			e.moveTo(p, id, now)
+			moved++
+		}
 	}
-	return lack
+	return moved
 }
 
-// strandedLack is the shortage that tasks without a place stand for: half a VM.
-const strandedLack = 16000
+// holds reports whether a task of the step fits on the empty VM.
+func (vm *VM) holds(step *jobkeeper.Step) bool {
+	return packer.Possible(step, &packer.Target{
+		Labels:   vm.Labels,
+		Capacity: vm.Capacity,
+	})
+}
 
 // fill moves VMs to a pool that lacks so much room and returns how many.
 func (e *Engine) fill(p *pool, lack int64, most int, now time.Duration) int {
@@ -138,16 +172,21 @@
 		if moved >= most || size <= 0 || lack-int64(e.moves.pending[p.name])*size < size/4 {
 			break
 		}
-		if from := e.pool(e.wave.vms[vm].Pool); from.demand.usable > 0 {
-			from.demand.usable--
-		}
-		e.move(vm, p.name, now)
-		e.moves.pending[p.name]++
+		e.moveTo(p, vm, now)
 		moved++
 	}
 	return moved
 }
 
+// moveTo moves a VM to a pool that needs it.
+func (e *Engine) moveTo(p *pool, vm string, now time.Duration) {
+	if from := e.pool(e.wave.vms[vm].Pool); from.demand.usable > 0 {
+		from.demand.usable--
+	}
+	e.move(vm, p.name, now)
+	e.moves.pending[p.name]++
+}
+
 // movable returns the VMs that could serve another pool now: those of spare pools
 // first, then idle ones of pools that have room to spare.
 func (e *Engine) movable(pool string, now time.Duration) []string {
--- /dev/null
+++ b/pkg/orchestrator/move_test.go
@@ -0,0 +1,84 @@
+package orchestrator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+)
+
+// newBurst returns a desk of one target whose spare pool has the given VMs, each of
+// eight cores, and where a move takes its usual time.
+func newBurst(t testing.TB, spares int) *world {
+	t.Helper()
+	w := newWorld(t, testConfiguration())
+	pool := w.conf.Pools["desk"]
+	pool.Name = "spare"
+	pool.Spare = true
+	w.conf.Pools["spare"] = pool
+	w.moveTime = 1500 * time.Millisecond
+	w.vmPause = time.Second
+	w.addTarget("t0", "desk", cores(8))
+	for i := range spares {
+		w.addTarget(fmt.Sprintf("s%02d", i), "spare", cores(8))
+	}
+	w.takeOver()
+	w.run(time.Second)
+	return w
+}
+
+// An order counts from the moment when it is given, not from the list that shows it:
+// otherwise each round until then orders the same VMs once more.
+func TestBurstGetsTheVMsThatItNeeds(t *testing.T) {
+	w := newBurst(t, 20)
+	w.submit(testJob("a", "schools", 600, 12))
+	if !w.runUntil(10*time.Second, func() bool { return w.state("a") == jobkeeper.StateComplete }) {
+		t.Errorf("state is %s, want complete", w.state("a"))
+	}
+	// The job asks for 24 cores, and one target of eight is there. What is expected to
+	// arrive may add a VM.
+	if w.moves < 2 || w.moves > 3 {
+		t.Errorf("%d VMs moved for a job that lacks two", w.moves)
+	}
+	w.verify()
+}
+
+// A VM keeps its labels when it moves, so the right one has to move.
+func TestLabelledTaskGetsAVMWithItsLabel(t *testing.T) {
+	w := newBurst(t, 6)
+	w.targets["s05"].Labels = []string{"b"}
+	w.run(2 * time.Second)
+	labelled := testJob("a", "schools", 300, 1)
+	labelled.Steps[0].Label = "b"
+	w.submit(labelled)
+	if !w.runUntil(8*time.Second, func() bool { return w.state("a") == jobkeeper.StateComplete }) {
+		t.Errorf("state is %s, want complete: a spare VM has the label", w.state("a"))
+	}
+	if w.moves > 2 {
+		t.Errorf("%d VMs moved for one task", w.moves)
+	}
+	w.verify()
+}
+
+// Tasks that have to run apart need a target each, whatever room there is.
+func TestTasksApartGetTheirVMsAtOnce(t *testing.T) {
+	w := newBurst(t, 8)
+	w.submit(lastingJob("a", 6, 1))
+	all := func() bool {
+		for i := range 6 {
+			if w.runningOn(fmt.Sprintf("a.0.0.%d", i)) == "" {
+				return false
+			}
+		}
+		return true
+	}
+	// A move takes 1.5 s and a round 0.2 s.
+	if !w.runUntil(strandedTime+2*w.moveTime, all) {
+		t.Errorf("six tasks on targets of their own do not run after %s", strandedTime+2*w.moveTime)
+	}
+	w.verify()
+}
+
+// strandedTime is how long a task waits until its pool gets a VM for it.
+const strandedTime = 400 * time.Millisecond
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -57,7 +57,7 @@
 	for id, vm := range e.wave.vms {
 		_, busy := e.wave.busy[id]
 		switch {
-		case busy && vm.Pool == p.name, !busy && vm.State == VMUp && e.spare(vm.Pool):
+		case busy && e.wave.destination(&vm) == p.name, !busy && vm.State == VMUp && e.spare(vm.Pool):
 			sum += vm.Capacity.CPUMillis
 		case vm.Pool != p.name && !busy && vm.State == VMUp:
 			if t := e.targetOn(id); t != nil && len(t.attempts) == 0 {
--- a/pkg/orchestrator/targets_test.go
+++ b/pkg/orchestrator/targets_test.go
@@ -28,7 +28,8 @@
 	stopped    map[runKey]bool
 	state      orchestrator.VMState
 	failing    bool
-	frozen     bool // tasks make no progress
+	frozen     bool          // tasks make no progress
+	arrivesAt  time.Duration // end of a move; zero without one
 }
 
 // runKey identifies a run: the members of a gang share its number.
@@ -264,6 +265,20 @@
 	return sum
 }
 
+// arrive ends moves.
+func (w *world) arrive() {
+	for _, id := range sortedKeys(w.targets) {
+		f := w.targets[id]
+		if f.arrivesAt == 0 || w.now < f.arrivesAt {
+			continue
+		}
+		f.arrivesAt = 0
+		f.state = orchestrator.VMUp
+		f.reachable, f.registered = true, true
+		w.engine.Register(f.Registration, w.now)
+	}
+}
+
 // orderVM ends the life of the target on a VM and begins a new one at once.
 func (w *world) orderVM(o orchestrator.Order) orchestrator.Outcome {
 	for _, f := range w.targets {
@@ -275,8 +290,16 @@
 		f.fence, f.number, f.deadline, f.ended = 0, 0, 0, nil
 		f.stopped = map[runKey]bool{}
 		if o.Kind == orchestrator.KindMove {
+			w.moves++
 			f.Pool = o.Pool
 		}
+		if w.moveTime > 0 {
+			f.arrivesAt = w.now + w.moveTime
+			f.state = orchestrator.VMMoving
+			f.reachable, f.registered = false, false
+			w.engine.Unregister(f.ID, w.now)
+			return orchestrator.OutcomeOK
+		}
 		w.engine.Register(f.Registration, w.now)
 		return orchestrator.OutcomeOK
 	}
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -25,6 +25,7 @@
 	Zone     string
 	Target   string // the target that runs on it
 	Rack     string
+	Labels   []string
 	Capacity jobkeeper.Resources
 }
 
@@ -58,7 +59,7 @@
 	for id, at := range e.wave.busy {
 		vm, ok := e.wave.vms[id]
 		if !ok || vm.State == VMUp && askedAt > at {
-			delete(e.wave.busy, id)
+			e.wave.settled(id)
 		}
 	}
 }
@@ -162,6 +163,9 @@
 	// A list that is asked for while the order is under way can still show the VM as
 	// it was.
 	e.wave.busy[o.VM] = now + vmOrderUnderWay
+	if o.Kind == KindMove {
+		e.wave.bound[o.VM] = o.Pool
+	}
 	if t := e.targetOn(o.VM); t != nil {
 		t.removing = true
 		o.Target = t.Endpoint
@@ -198,7 +202,7 @@
 		}
 	default:
 		e.wave.retryAt[o.VM] = now + time.Second
-		delete(e.wave.busy, o.VM)
+		e.wave.settled(o.VM)
 		if t != nil {
 			t.removing = false
 		}
--- a/pkg/orchestrator/wave.go
+++ b/pkg/orchestrator/wave.go
@@ -35,7 +35,9 @@
 	listedAt time.Duration
 	// busy are the VMs that were ordered to move or to be maintained, with the time from
 	// which a list shows the outcome.
-	busy    map[string]time.Duration
+	busy map[string]time.Duration
+	// bound are the pools to which VMs were ordered, until a list shows them there.
+	bound   map[string]string
 	retryAt map[string]time.Duration
 	active  map[int]*wave
 }
@@ -48,10 +50,25 @@
 	dirty    bool
 }
 
+// destination returns the pool that a VM belongs to, or was ordered to.
+func (w *waves) destination(vm *VM) string {
+	if pool, ok := w.bound[vm.ID]; ok {
+		return pool
+	}
+	return vm.Pool
+}
+
+// settled forgets an order for a VM.
+func (w *waves) settled(vm string) {
+	delete(w.busy, vm)
+	delete(w.bound, vm)
+}
+
 func newWaves() *waves {
 	return &waves{
 		vms:     map[string]VM{},
 		busy:    map[string]time.Duration{},
+		bound:   map[string]string{},
 		retryAt: map[string]time.Duration{},
 		active:  map[int]*wave{},
 	}
--- a/pkg/orchestrator/world_test.go
+++ b/pkg/orchestrator/world_test.go
@@ -42,10 +42,14 @@
 	cancelled map[string]bool
 	storeDown bool
 	noVMs     bool // the list of VMs can't be read
-	noted     map[string]bool
-	failures  []string
-	starts    map[string]int
-	maxUsed   map[string]jobkeeper.Resources
+	// vmPause separates two lists of VMs; a move takes moveTime.
+	vmPause  time.Duration
+	moveTime time.Duration
+	moves    int
+	noted    map[string]bool
+	failures []string
+	starts   map[string]int
+	maxUsed  map[string]jobkeeper.Resources
 }
 
 type lateOrder struct {
@@ -57,6 +61,7 @@
 	w := &world{
 		t:         t,
 		now:       time.Second,
+		vmPause:   200 * time.Millisecond,
 		conf:      conf,
 		jobs:      map[string]*jobkeeper.Job{},
 		created:   map[string]storer.Version{},
@@ -176,6 +181,7 @@
 func (w *world) step() {
 	w.now += worldStep
 	w.advance()
+	w.arrive()
 	w.deliverLate()
 	if w.engine == nil {
 		return
@@ -183,7 +189,7 @@
 	if w.now%(50*time.Millisecond) == 0 {
 		w.list()
 	}
-	if w.now%(200*time.Millisecond) == 0 && !w.noVMs {
+	if w.now%w.vmPause == 0 && !w.noVMs {
 		w.listVMs()
 	}
 	w.engine.Tick(w.now, w.wall())
@@ -258,9 +264,10 @@
 			ID:       f.VM,
 			Pool:     f.Pool,
 			State:    f.state,
+			Labels:   f.Labels,
 			Capacity: f.Capacity,
 		}
-		if !f.crashed {
+		if !f.crashed && f.state != orchestrator.VMMoving {
 			vm.Target = id
 		}
 		vms = append(vms, vm)
