Move VMs for labelled work by label only

Cause: waiting tasks that need a label counted as lack of room of their pool, which any VM seemed to cover.

Such tasks are counted by label, and only VMs with the label move for them. TestUnservableWorkMovesNoVMs failed first (79 moves for 6 VMs in 20 s, at most 12 wanted).

--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -14,6 +14,9 @@
 	waitingMillis int64 // thousandths of a core that tasks which could start ask for
 	comingMillis  int64 // the same for tasks of later steps of running jobs
 	lateMillis    int64 // the same for waiting tasks of jobs that can't be on time
+	// labelled is what waiting tasks that need a label ask for, by label; it is in none of
+	// the three above, since most VMs can't serve it.
+	labelled      map[string]int64
 	busyMillis    int64 // reserved by what runs
 	capacity      int64 // of usable targets
 	waitingJobs   int   // accepted jobs of which no task has started
@@ -91,7 +94,9 @@
 // measure computes the demand of each pool.
 func (e *Engine) measure(now time.Duration) {
 	for _, p := range e.pools {
-		p.demand = demand{}
+		p.demand = demand{
+			labelled: map[string]int64{},
+		}
 		for _, t := range p.targets {
 			if !e.usable(t, now) {
 				continue
@@ -125,7 +130,7 @@
 				p.demand.backlogMS += millis
 			}
 			if !s.ready() {
-				if j.planned {
+				if j.planned && s.step.Label == "" {
 					p.demand.comingMillis += left
 				}
 				continue
@@ -133,9 +138,12 @@
 			tasks := s.waitingTasks(now)
 			p.demand.strand(s.step, s.stranded(tasks, now))
 			waiting := int64(len(tasks)) * s.step.Needs.CPUMillis
-			if j.planned || s.step.Lasting {
+			switch {
+			case s.step.Label != "":
+				p.demand.labelled[s.step.Label] += waiting
+			case j.planned || s.step.Lasting:
 				p.demand.waitingMillis += waiting
-			} else {
+			default:
 				p.demand.lateMillis += waiting
 			}
 		}
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -59,6 +59,7 @@
 	sort.SliceStable(names, func(i, j int) bool { return e.pools[names[i]].shortage(now) > e.pools[names[j]].shortage(now) })
 	for _, name := range names {
 		if p := e.pools[name]; !e.spare(name) {
+			left -= e.fillLabels(p, left, now)
 			left -= e.rescue(p, left, now)
 			left -= e.fill(p, p.shortage(now), left, now)
 		}
@@ -156,6 +157,40 @@
 	return moved
 }
 
+// fillLabels moves VMs to a pool for the tasks that need their labels and returns how many.
+func (e *Engine) fillLabels(p *pool, most int, now time.Duration) int {
+	moved := 0
+	for _, label := range slices.Sorted(maps.Keys(p.demand.labelled)) {
+		lack := p.demand.labelled[label]
+		for _, t := range p.targets {
+			if e.usable(t, now) && slices.Contains(t.Labels, label) {
+				lack -= t.Capacity.Minus(t.used).CPUMillis
+			}
+		}
+		for id := range e.wave.bound {
+			if vm := e.wave.vms[id]; e.wave.destination(&vm) == p.name && slices.Contains(vm.Labels, label) {
+				lack -= vm.Capacity.CPUMillis
+			}
+		}
+		if lack <= 0 {
+			continue
+		}
+		for _, id := range e.movable(p.name, now) {
+			vm := e.wave.vms[id]
+			if !slices.Contains(vm.Labels, label) {
+				continue
+			}
+			if moved >= most || lack < vm.Capacity.CPUMillis/4 {
+				break
+			}
+			e.moveTo(p, id, now)
+			lack -= vm.Capacity.CPUMillis
+			moved++
+		}
+	}
+	return moved
+}
+
 // holds reports whether a task of the step fits on the empty VM.
 func (vm *VM) holds(step *jobkeeper.Step) bool {
 	return packer.Possible(step, &packer.Target{
--- a/pkg/orchestrator/move_test.go
+++ b/pkg/orchestrator/move_test.go
@@ -80,5 +80,32 @@
 	w.verify()
 }
 
+// VMs that can't serve what waits must not go from one pool that lacks room to the next.
+func TestUnservableWorkMovesNoVMs(t *testing.T) {
+	w := newBurst(t, 6)
+	stock := w.conf.Pools["desk"]
+	stock.Name = "stock"
+	w.conf.Pools["stock"] = stock
+	sweeps := w.conf.Queues["quotes"]
+	sweeps.Name, sweeps.Pool = "sweeps", "stock"
+	w.conf.Queues["sweeps"] = sweeps
+	w.engine.Configure(w.conf)
+	w.addTarget("t1", "stock", cores(8))
+	w.run(time.Second)
+	for i, queue := range []string{"quotes", "sweeps"} {
+		j := testJob(fmt.Sprintf("j%d", i), "schools", 600, 40)
+		j.Queue = queue
+		j.Pool = w.conf.Queues[queue].Pool
+		j.Steps[0].Label = "b"
+		w.submit(j)
+	}
+	w.run(20 * time.Second)
+	// Each VM may be taken for work that is expected and be given back.
+	if most := 2 * 6; w.moves > most {
+		t.Errorf("%d moves, want at most %d", w.moves, most)
+	}
+	w.verify()
+}
+
 // strandedTime is how long a task waits until its pool gets a VM for it.
 const strandedTime = 400 * time.Millisecond
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -170,7 +170,7 @@
 	e.waitLoggedAt = now
 	team := s.job.doc.Team
 	e.cfg.Logger.Info("job waits", "job", s.job.doc.ID, "step", s.index, "for", reason, "pool", p.name, "targets", len(p.targets), "usable", p.demand.usable,
-		"waited_ms", waited.Milliseconds(), "needs", s.step.Needs, "planned", s.job.planned, "excess", s.job.excess, "slack_ms", g.candidate.Slack.Milliseconds(),
+		"waited_ms", waited.Milliseconds(), "needs", s.step.Needs, "label", s.step.Label, "per_target", s.step.PerTarget, "gang", s.step.Gang, "planned", s.job.planned, "excess", s.job.excess, "slack_ms", g.candidate.Slack.Milliseconds(),
 		"team", team, "team_used", e.usage[team], "team_limit", e.conf.Teams[team].Limit)
 }
 
