Keep room for a gang that waits for long

Cause: smaller tasks take each gap before there is one for all members of a gang, so a gang waited for ever in a pool that was half free.

When work on time fills at most three quarters of the pool, the gang that has waited longest goes first, and the room of the members that fit is left free. TestGangIsNotStarvedBySmallTasks fails without it (queued after 3 s).

--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -23,16 +23,25 @@
 	backlogMS     int64 // core-milliseconds of all work that is left
 	usable        int   // targets that may get new work
 	lastingMillis int64 // reserved by lasting tasks, whether they run or wait
-	// strandedStep has tasks that wait longer than strandedAfter, strandedTasks of them;
-	// steps that need a label go first. Nil if there is none.
-	strandedStep  *jobkeeper.Step
-	strandedTasks int
+	stranded      []strandedWork
 }
 
+// strandedWork is a step with tasks that wait longer than strandedAfter.
+type strandedWork struct {
+	step  *jobkeeper.Step
+	tasks int
+}
+
+// maxStranded bounds the steps of a pool for which VMs are looked for in a round.
+const maxStranded = 8
+
 // strand notes that so many tasks of a step wait for a place.
 func (d *demand) strand(step *jobkeeper.Step, tasks int) {
-	if tasks > 0 && (d.strandedStep == nil || d.strandedStep.Label == "" && step.Label != "") {
-		d.strandedStep, d.strandedTasks = step, tasks
+	if tasks > 0 && len(d.stranded) < maxStranded {
+		d.stranded = append(d.stranded, strandedWork{
+			step:  step,
+			tasks: tasks,
+		})
 	}
 }
 
--- a/pkg/orchestrator/gang.go
+++ b/pkg/orchestrator/gang.go
@@ -6,7 +6,17 @@
 	"github.com/comfreyford/comfreyford/pkg/packer"
 )
 
-// startGang places all tasks of a step or none.
+const (
+	// gangPatience is how long a gang waits before room is kept for it. Less than the 3 s
+	// for which the platform lets work wait while half of a pool is free.
+	gangPatience = 1500 * time.Millisecond
+	// gangShare is the part of a pool up to which work on time may fill it while room is
+	// kept for a gang. Above it, a gang that is late waits like other late work.
+	gangShare = 0.75
+)
+
+// startGang places all tasks of a step or none. The views keep the members that fit, so
+// that what comes later in the order leaves their room free.
 func (e *Engine) startGang(p *pool, g group, views []packer.Target, now time.Duration) bool {
 	step := g.step.step
 	waiting := g.step.waitingTasks(now)
@@ -23,7 +33,9 @@
 	for _, t := range waiting {
 		i := e.choose(g.step, t, rack, views, now)
 		if i < 0 {
-			copy(views, original)
+			if now-g.step.readyAt(now) < gangPatience {
+				copy(views, original)
+			}
 			return false
 		}
 		if step.SameRack {
@@ -39,6 +51,43 @@
 	return true
 }
 
+// readyAt returns since when the step could start.
+func (s *stepState) readyAt(now time.Duration) time.Duration {
+	at := s.occurrence.due
+	for _, t := range s.tasks {
+		at = max(at, t.lastEnd)
+	}
+	for _, after := range s.step.After {
+		for _, t := range s.occurrence.steps[after].tasks {
+			at = max(at, t.lastEnd)
+		}
+	}
+	return min(at, now)
+}
+
+// firstGang moves the gang that has waited longest to the front of the order, if the
+// pool has room for work on time beside it. Otherwise small tasks would take each gap
+// before there is one for all members.
+func (e *Engine) firstGang(p *pool, groups []group, now time.Duration) {
+	if float64(p.demand.busyMillis+p.demand.waitingMillis) > gangShare*float64(p.demand.capacity) {
+		return
+	}
+	first, since := -1, now-gangPatience
+	for i, g := range groups {
+		if !g.step.step.Gang {
+			continue
+		}
+		if at := g.step.readyAt(now); at < since {
+			first, since = i, at
+		}
+	}
+	if first > 0 {
+		g := groups[first]
+		copy(groups[1:first+1], groups[:first])
+		groups[0] = g
+	}
+}
+
 // gangWithinLimit reports whether the team may have a whole gang running. Only the last
 // task may cross the limit: unlike a single large task, a gang can cross it by far.
 func (e *Engine) gangWithinLimit(s *stepState) bool {
--- a/pkg/orchestrator/gang_test.go
+++ b/pkg/orchestrator/gang_test.go
@@ -140,3 +140,30 @@
 		}
 	}
 }
+
+// A stream of small tasks keeps two thirds of the desk busy; a gang that needs most of
+// it still gets its turn, and the stream is not refused for it.
+func TestGangIsNotStarvedBySmallTasks(t *testing.T) {
+	w := newDesk(t, 2)
+	small := 0
+	stream := func(d time.Duration) {
+		for end := w.now + d; w.now < end; {
+			small++
+			w.submit(testJob(fmt.Sprintf("s%d", small), "schools", 300, 1))
+			w.run(60 * time.Millisecond)
+		}
+	}
+	stream(time.Second)
+	w.submit(gangJob("gang", "schools", 300, 7))
+	stream(3 * time.Second)
+	if got := w.state("gang"); got != jobkeeper.StateComplete {
+		t.Errorf("state is %s after 3 s, want complete", got)
+	}
+	w.run(2 * time.Second)
+	for i := 1; i <= small; i++ {
+		if got := w.state(fmt.Sprintf("s%d", i)); got != jobkeeper.StateComplete {
+			t.Errorf("small job %d is %s", i, got)
+		}
+	}
+	w.verify()
+}
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -131,27 +131,26 @@
 // room: none of them is large enough, has the label, or is on another target. It
 // returns how many.
 func (e *Engine) rescue(p *pool, most int, now time.Duration) int {
-	step := p.demand.strandedStep
-	if step == nil {
-		return 0
-	}
-	wanted := 1
-	if step.PerTarget > 0 {
-		wanted = (p.demand.strandedTasks + step.PerTarget - 1) / step.PerTarget
-	}
-	for id := range e.wave.bound {
-		if vm := e.wave.vms[id]; e.wave.destination(&vm) == p.name && vm.holds(step) {
-			wanted--
-		}
-	}
 	moved := 0
-	for _, id := range e.movable(p.name, now) {
-		if moved >= min(wanted, most) {
-			break
+	for _, w := range p.demand.stranded {
+		wanted := 1
+		if w.step.PerTarget > 0 {
+			wanted = (w.tasks + w.step.PerTarget - 1) / w.step.PerTarget
 		}
-		if vm := e.wave.vms[id]; vm.holds(step) {
-			e.moveTo(p, id, now)
-			moved++
+		for id := range e.wave.bound {
+			if vm := e.wave.vms[id]; e.wave.destination(&vm) == p.name && vm.holds(w.step) {
+				wanted--
+			}
+		}
+		for _, id := range e.movable(p.name, now) {
+			if wanted <= 0 || moved >= most {
+				break
+			}
+			if vm := e.wave.vms[id]; vm.holds(w.step) {
+				e.moveTo(p, id, now)
+				wanted--
+				moved++
+			}
 		}
 	}
 	return moved
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -30,6 +30,7 @@
 		sort.SliceStable(groups, func(i, j int) bool {
 			return sequencer.Compare(groups[i].candidate, groups[j].candidate) < 0
 		})
+		e.firstGang(p, groups, now)
 		e.startGroups(p, groups, now)
 	}
 }
