Fall back on slow targets for tasks that wait for long

Cause: a target that looked more than 2.5 times as slow got no new task, and without new tasks it could not look sound again.

After 2 s, longer than a VM takes to come, a task is placed on a slow target. TestSlowTargetIsUsedWhenNothingElseIsLeft failed first.

--- a/pkg/orchestrator/orchestrator_test.go
+++ b/pkg/orchestrator/orchestrator_test.go
@@ -321,6 +321,24 @@
 	}
 }
 
+// A target that looks slow is better than none: nothing but new work can show that it
+// has become sound.
+func TestSlowTargetIsUsedWhenNothingElseIsLeft(t *testing.T) {
+	w := newDesk(t, 1)
+	w.targets["t0"].slow = 6
+	w.submit(testJob("a", "schools", 400, 1))
+	w.run(3 * time.Second)
+	w.targets["t0"].slow = 1
+	w.submit(testJob("b", "schools", 400, 1))
+	w.run(time.Second)
+	w.submit(testJob("c", "schools", 400, 1)) // goes first in the order, and is patient still
+	// The patience with slow targets is two seconds.
+	if !w.runUntil(4*time.Second, func() bool { return w.state("b") == jobkeeper.StateComplete }) {
+		t.Errorf("state is %s, want complete", w.state("b"))
+	}
+	w.verify()
+}
+
 // A new owner finds runs of a job that has ended meanwhile. Until they are gone they
 // take room, also on a target that does not count it itself.
 func TestRunsThatHaveToEndTakeRoom(t *testing.T) {
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -13,8 +13,11 @@
 	// maxUnanswered bounds the starts that are under way. More would wait in this
 	// daemon while what they rest on grows old.
 	maxUnanswered = 256
-	// maxSlowdown is the slowdown above which a target gets no new tasks.
+	// maxSlowdown is the slowdown above which a target gets no new tasks, unless they
+	// wait for longer than slowPatience.
 	maxSlowdown = 2.5
+	// slowPatience is longer than a VM needs to come: a slow target beats a longer wait.
+	slowPatience = 2 * time.Second
 )
 
 // group is a step with tasks that could start now.
@@ -112,13 +115,15 @@
 // views of the targets, which change as tasks are placed.
 func (e *Engine) startGroups(p *pool, groups []group, now time.Duration) {
 	views := e.views(p, now)
-	full := misfits{}
+	// What found no room on a sound target, and on any target.
+	var full, fullWithSlow misfits
 	for _, g := range groups {
 		if e.unanswered >= maxUnanswered {
 			return
 		}
 		needs := g.step.step.Reserved()
-		if full.covers(needs) {
+		patient := now-g.step.readyAt(now) <= slowPatience
+		if patient && full.covers(needs) || fullWithSlow.covers(needs) {
 			e.waits(g, p, waitRoom, now)
 			continue
 		}
@@ -137,6 +142,9 @@
 		}
 		if !placed && g.step.plain() {
 			full = append(full, needs)
+			if !patient {
+				fullWithSlow = append(fullWithSlow, needs)
+			}
 		}
 		if !placed {
 			e.waits(g, p, waitRoom, now)
@@ -226,17 +234,20 @@
 	}
 }
 
-// choose picks a target for a task; it falls back on slow targets and on the one
-// that failed it when nothing else is left.
+// choose picks a target for a task. When nothing else is left it falls back on slow
+// targets, and on the one that failed the task.
 func (e *Engine) choose(s *stepState, t *task, rack string, views []packer.Target, now time.Duration) int {
 	request := e.request(s, rack)
 	if i := packer.Choose(request, e.withoutAvoided(t, views)); i >= 0 {
 		return i
 	}
-	if now-t.lastEnd < failureCooldown {
-		return -1
+	if now-s.readyAt(now) > slowPatience {
+		request.MaxSlowdown = 0
+		if i := packer.Choose(request, e.withoutAvoided(t, views)); i >= 0 {
+			return i
+		}
 	}
-	if t.avoid == "" {
+	if now-t.lastEnd < failureCooldown || t.avoid == "" {
 		return -1
 	}
 	return packer.Choose(request, views)
--- a/pkg/orchestrator/targets_test.go
+++ b/pkg/orchestrator/targets_test.go
@@ -22,6 +22,7 @@
 	runs       map[runKey]*fakeRun
 	ended      []orchestrator.End
 	number     uint64
+	slow       int           // how many times as long tasks take; zero counts as one
 	unguarded  bool          // starts whatever it is told to
 	stopTime   time.Duration // how long a stop takes
 	refusing   int           // starts that are refused for want of room, whatever runs
@@ -244,7 +245,7 @@
 	f.runs[orderKey(o)] = &fakeRun{
 		runKey:   orderKey(o),
 		started:  w.now,
-		duration: time.Duration(step.EstimateMS) * time.Millisecond,
+		duration: time.Duration(step.EstimateMS) * time.Millisecond * time.Duration(max(1, f.slow)),
 		lasting:  step.Lasting,
 		saves:    step.Checkpointing,
 		needs:    step.Reserved(),
