--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -46,25 +46,44 @@
 }
 
 // offeredLoad estimates the work that arrives, in thousandths of a core that it
-// keeps busy. It is the sum of the arrivals, each decaying over offeredMemory.
+// keeps busy. It is the sum of the arrivals, each decaying over offeredMemory, and
+// follows their trend: a VM that is ordered now serves the load of the next seconds.
 type offeredLoad struct {
-	millis float64
-	at     time.Duration
+	fast float64 // decays over offeredMemory
+	slow float64 // decays over trendMemory
+	at   time.Duration
 }
 
-// offeredMemory is the time over which arrivals are averaged: short enough to see a
-// burst within half a second, long enough for a dozen jobs.
-const offeredMemory = 600 * time.Millisecond
+const (
+	// offeredMemory is the time over which arrivals are averaged: short enough to see a
+	// burst within half a second, long enough for a dozen jobs.
+	offeredMemory = 600 * time.Millisecond
+	// trendMemory is the time of the slower average. While the load changes evenly, the
+	// two differ by its change in trendMemory - offeredMemory.
+	trendMemory = 3 * offeredMemory
+	// trendHorizon is how far ahead the trend is followed. A VM takes longer to come, but
+	// a load that jumps and stays would then get almost twice the VMs that it needs.
+	trendHorizon = 600 * time.Millisecond
+)
 
 // add notes the arrival of work in core-milliseconds.
 func (o *offeredLoad) add(workMS int64, now time.Duration) {
-	o.millis = o.rate(now) + float64(workMS)*1000/float64(offeredMemory.Milliseconds())
+	o.fast, o.slow = o.averages(now)
+	o.fast += float64(workMS) * 1000 / float64(offeredMemory.Milliseconds())
+	o.slow += float64(workMS) * 1000 / float64(trendMemory.Milliseconds())
 	o.at = now
 }
 
-// rate returns the offered load now, in thousandths of a core.
+func (o *offeredLoad) averages(now time.Duration) (fast, slow float64) {
+	age := float64(now - o.at)
+	return o.fast * math.Exp(-age/float64(offeredMemory)), o.slow * math.Exp(-age/float64(trendMemory))
+}
+
+// rate returns the load expected soon, in thousandths of a core.
 func (o *offeredLoad) rate(now time.Duration) float64 {
-	return o.millis * math.Exp(-float64(now-o.at)/float64(offeredMemory))
+	fast, slow := o.averages(now)
+	const lag = offeredMemory // by which the faster average is late
+	return max(0, fast+(fast-slow)*float64(lag+trendHorizon)/float64(trendMemory-offeredMemory))
 }
 
 // tokenBucket measures how much a team sends against what it may expect.
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -17,7 +17,7 @@
 	// moveDelay is how long a target must be idle before it may move.
 	moveDelay = 300 * time.Millisecond
 	// parkDelay is how long a target must be idle before it goes to a spare pool.
-	parkDelay = 2000 * time.Millisecond
+	parkDelay = time.Second
 	// defaultVMOrders is the rate of orders for VMs, a second, if none is stated.
 	defaultVMOrders = 60
 	// moveShare is the part of that rate that moves may take; the rest is for upkeep.
