Explain a job from the logs of all daemons

`comfreyford explain ID FILE...` joins the JSON lines of any number of processes into the timeline of one job, adds what happened to owners, the store and the job's targets meanwhile, and names the likely cause. Unknown ids exit with 1 and say what span the logs cover; lines that can't be read are counted.

"job ended" now carries waited_ms, the sum over the steps of their waits, and explain reads it.

--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -8,9 +8,10 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/comfreyford/comfreyford/internal/loader"
+	"github.com/comfreyford/comfreyford/platform"
 )
 
-const checkUsage = "check the settings file of an entry daemon without starting it"
+const checkUsage = "check a settings file without starting a daemon"
 
 func checkCommand() *cli.Command {
 	return &cli.Command{
@@ -22,6 +23,10 @@
 				Name:  "reference",
 				Usage: "print the reference of all keys in markdown",
 			},
+			&cli.BoolFlag{
+				Name:  "platform",
+				Usage: "FILE is the settings file of the users' platform, as `manage` reads it; print what would be used",
+			},
 		},
 		Action: runCheck,
 	}
@@ -36,6 +41,14 @@
 	if err != nil {
 		return err
 	}
+	if cmd.Bool("platform") {
+		settings, err := platform.LoadSettings(args[0])
+		if err != nil {
+			return fmt.Errorf("check: %w", err)
+		}
+		_, err = fmt.Fprint(cmd.Root().Writer, settings.Summary())
+		return err
+	}
 	_, err = loader.Load(args[0])
 	var problems loader.Problems
 	if errors.As(err, &problems) {
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"strings"
 	"syscall"
@@ -28,6 +29,7 @@
 		settingsCommand(),
 		fleetCommand(),
 		statusCommand(),
+		explainCommand(),
 		waveCommand(),
 		certificatesCommand(),
 		operatorKeyCommand(),
@@ -46,6 +48,7 @@
 	root := &cli.Command{
 		Name:           "comfreyford",
 		Usage:          "share a fleet of VMs among teams, through maintenance and failures",
+		Reader:         os.Stdin,
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		Commands:       verbs(),
--- /dev/null
+++ b/internal/explainer/explainer.go
@@ -0,0 +1,233 @@
+// Package explainer follows one job through the logs of any number of daemons and names
+// the likely cause of its outcome.
+package explainer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("explainer")
+
+// ErrUnknown means that no line of the logs names the job.
+var ErrUnknown = errors.New("no line names the job")
+
+// maxLine bounds a line of a log, in bytes. Longer lines are counted as not readable.
+const maxLine = 1 << 20
+
+// Input is the log of one process, or of several if a word before each line names it.
+type Input struct {
+	Name   string
+	Reader io.Reader
+}
+
+// Event is a line that concerns the job, or the daemons while it was under way.
+type Event struct {
+	At      time.Time
+	Source  string // process that wrote the line
+	Message string
+	Fields  map[string]any
+	Context bool // the line names no job
+}
+
+// Report is what the logs say of a job.
+type Report struct {
+	Job     string
+	Events  []Event // in the order of their times
+	Cause   string  // one sentence
+	Skipped int     // lines that are not readable
+	First   time.Time
+	Last    time.Time
+}
+
+// context lists the messages that matter for every job that is under way.
+var context = []string{
+	"ownership acquired", "ownership ended", "takeover", "takeover complete", "decisions paused", "deposed", "owner gives up",
+	"store lost", "store regained", "target lost", "target regained", "target restarted", "target ended", "target left out",
+}
+
+// Explain reads the logs. It returns ErrUnknown, with the span that they cover, when none
+// of them names the job, and errors of the readers.
+func Explain(job string, inputs ...Input) (*Report, error) {
+	r := &Report{Job: job}
+	var others []Event
+	for _, in := range inputs {
+		if err := r.read(in, &others); err != nil {
+			return nil, Error.New("%s: %w", in.Name, err)
+		}
+	}
+	if len(r.Events) == 0 {
+		return nil, Error.New("job %s: %w; the logs cover %s to %s, %d lines are not readable", job, ErrUnknown,
+			r.First.Format(time.RFC3339Nano), r.Last.Format(time.RFC3339Nano), r.Skipped)
+	}
+	sortEvents(r.Events)
+	r.addContext(others)
+	r.Cause = cause(r.Events)
+	return r, nil
+}
+
+func sortEvents(events []Event) {
+	sort.SliceStable(events, func(i, j int) bool { return events[i].At.Before(events[j].At) })
+}
+
+// read takes the lines of one log.
+func (r *Report) read(in Input, others *[]Event) error {
+	lines := bufio.NewReaderSize(in.Reader, maxLine)
+	for {
+		line, err := lines.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			r.Skipped++
+			for errors.Is(err, bufio.ErrBufferFull) {
+				_, err = lines.ReadSlice('\n')
+			}
+			line = nil
+		}
+		if text := bytes.TrimSpace(line); len(text) > 0 {
+			r.take(in.Name, text, others)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Report) take(source string, line []byte, others *[]Event) {
+	event, ok := parse(source, line)
+	if !ok {
+		r.Skipped++
+		return
+	}
+	if r.First.IsZero() || event.At.Before(r.First) {
+		r.First = event.At
+	}
+	if event.At.After(r.Last) {
+		r.Last = event.At
+	}
+	switch {
+	case event.names(r.Job):
+		r.Events = append(r.Events, event)
+	case slices.Contains(context, event.Message):
+		event.Context = true
+		*others = append(*others, event)
+	}
+}
+
+// parse reads a line. Words before the JSON object, if any, end with the process.
+func parse(source string, line []byte) (Event, bool) {
+	start := bytes.IndexByte(line, '{')
+	if start < 0 {
+		return Event{}, false
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(line[start:], &fields); err != nil {
+		return Event{}, false
+	}
+	if words := strings.Fields(string(line[:start])); len(words) > 0 {
+		source = words[len(words)-1]
+	}
+	at, err := time.Parse(time.RFC3339Nano, text(fields["@timestamp"]))
+	if err != nil {
+		return Event{}, false
+	}
+	event := Event{
+		At:      at,
+		Source:  source,
+		Message: text(fields["@message"]),
+		Fields:  map[string]any{},
+	}
+	for name, value := range fields {
+		if !strings.HasPrefix(name, "@") {
+			event.Fields[name] = value
+		}
+	}
+	return event, event.Message != ""
+}
+
+// names reports whether the line is about the job or one of its tasks.
+func (e *Event) names(job string) bool {
+	if text(e.Fields["job"]) == job {
+		return true
+	}
+	switch task := e.Fields["task"].(type) {
+	case string:
+		return strings.HasPrefix(task, job+".")
+	case map[string]any:
+		return text(task["Job"]) == job
+	}
+	return false
+}
+
+// addContext adds what happened to the daemons, and to the targets that the job ran on,
+// while it was under way.
+func (r *Report) addContext(others []Event) {
+	targets := map[string]bool{}
+	for _, e := range r.Events {
+		targets[text(e.Fields["target"])] = true
+	}
+	first, last := r.Events[0].At, r.Events[len(r.Events)-1].At
+	for _, e := range others {
+		target, ofTarget := e.Fields["target"]
+		if e.At.Before(first) || e.At.After(last) || ofTarget && !targets[text(target)] {
+			continue
+		}
+		r.Events = append(r.Events, e)
+	}
+	sortEvents(r.Events)
+}
+
+// Write prints the timeline, the cause and how much of the logs was not readable.
+func (r *Report) Write(w io.Writer) error {
+	var b strings.Builder
+	start := r.Events[0].At
+	for _, e := range r.Events {
+		mark := " "
+		if e.Context {
+			mark = "|"
+		}
+		fmt.Fprintf(&b, "%9.3f s %s %-20s %s", e.At.Sub(start).Seconds(), mark, e.Source, e.Message)
+		for _, name := range slices.Sorted(maps.Keys(e.Fields)) {
+			if name != "job" {
+				fmt.Fprintf(&b, " %s=%s", name, text(e.Fields[name]))
+			}
+		}
+		b.WriteByte('\n')
+	}
+	fmt.Fprintf(&b, "\njob %s, first seen %s\ncause: %s\n", r.Job, start.Format(time.RFC3339Nano), r.Cause)
+	if r.Skipped > 0 {
+		fmt.Fprintf(&b, "%d lines were not readable\n", r.Skipped)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// text writes a value of a line.
+func text(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case string:
+		return v
+	case float64:
+		return fmt.Sprintf("%.10g", v)
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Sprint(v)
+	}
+	return string(data)
+}
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -19,6 +19,7 @@
 	state       jobkeeper.State
 	reason      string
 	started     bool
+	waited      time.Duration // sum over its steps from when each could start to its first start
 	endedAt     time.Duration
 	endedMS     int64
 	finished    int // occurrences below this number are done
@@ -47,6 +48,7 @@
 	done       int
 	afterMS    int64 // estimated work from the start of this step to the end of the job
 	advice     advice
+	started    bool
 	// waitLoggedAt is when the reason of a long wait was last logged.
 	waitLoggedAt time.Duration
 }
@@ -239,7 +241,7 @@
 	e.dirty[j.doc.ID] = true
 	e.cfg.Observer.JobEnded(j.doc.Queue, j.doc.Team, string(state), now-j.arrival)
 	e.cfg.Logger.Info("job ended", "job", j.doc.ID, "queue", j.doc.Queue, "state", state, "reason", reason,
-		"took_ms", (now - j.arrival).Milliseconds(), "objective_ms", e.objective(j).Milliseconds())
+		"took_ms", (now - j.arrival).Milliseconds(), "objective_ms", e.objective(j).Milliseconds(), "waited_ms", j.waited.Milliseconds())
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -352,6 +352,10 @@
 	}
 	e.attach(a)
 	j := t.step.job
+	if s := t.step; !s.started {
+		s.started = true
+		j.waited += now - s.readyAt(now)
+	}
 	if !j.started {
 		j.started = true
 		if j.state == jobkeeper.StateQueued {
