Bring VMs for tasks that have to leave theirs and have no room

Cause: a task that lasts leaves a VM that is due for upkeep only when another target of its pool has room. With fewer idle VMs (they are parked after a second) a pool could have none, and nothing asked for one. VMs that were ordered to move counted as down for upkeep, too.

Such tasks are counted per step and get VMs like tasks that wait for long. TestWaveBringsVMsForTasksThatHaveNoRoom failed first (the wave is not complete in its time).

--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -128,11 +128,11 @@
 }
 
 // rescue moves VMs to a pool for tasks that wait although its gaps may add up to enough
-// room: none of them is large enough, has the label, or is on another target. It
-// returns how many.
+// room: none of them is large enough, has the label, or is on another target; and for
+// tasks that can't leave a VM that is due for upkeep. It returns how many.
 func (e *Engine) rescue(p *pool, most int, now time.Duration) int {
 	moved := 0
-	for _, w := range p.demand.stranded {
+	for _, w := range slices.Concat(p.demand.stranded, p.homeless[:min(len(p.homeless), maxStranded)]) {
 		wanted := 1
 		if w.step.PerTarget > 0 {
 			wanted = (w.tasks + w.step.PerTarget - 1) / w.step.PerTarget
--- a/pkg/orchestrator/move_test.go
+++ b/pkg/orchestrator/move_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 )
 
 // newBurst returns a desk of one target whose spare pool has the given VMs, each of
@@ -80,6 +81,36 @@
 	w.verify()
 }
 
+// A task that lasts leaves a VM that is due for upkeep even if all targets of its pool
+// run another task of its step: the pool gets a VM.
+func TestWaveBringsVMsForTasksThatHaveNoRoom(t *testing.T) {
+	w := newBurst(t, 2)
+	for i := range 3 {
+		w.addTarget(fmt.Sprintf("t%d", i+1), "desk", cores(8))
+	}
+	w.run(time.Second)
+	w.submit(lastingJob("a", 4, 1))
+	w.run(8 * time.Second) // VMs that came for the job and are idle go back
+	w.engine.AddWave(orchestrator.Wave{
+		Number:   1,
+		VMs:      []string{w.targets[w.runningOn("a.0.0.0")].VM},
+		Duration: 10 * time.Second,
+		Most:     1,
+	}, nil, w.now)
+	complete := func() bool {
+		for _, state := range w.engine.TakeWaves() {
+			if state.Complete {
+				return true
+			}
+		}
+		return false
+	}
+	if !w.runUntil(10*time.Second, complete) {
+		t.Error("the wave is not complete in its time")
+	}
+	w.verify()
+}
+
 // VMs that can't serve what waits must not go from one pool that lacks room to the next.
 func TestUnservableWorkMovesNoVMs(t *testing.T) {
 	w := newBurst(t, 6)
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -142,6 +142,8 @@
 	targets []*target
 	demand  demand
 	offered offeredLoad
+	// homeless are lasting tasks that have to leave their VMs and have no room elsewhere.
+	homeless []strandedWork
 }
 
 // New returns an Engine without jobs and targets.
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -118,14 +118,33 @@
 		if a.phase == phaseStopping {
 			continue
 		}
-		if a.task.step.step.Lasting && e.mayInterrupt(a, now) && e.roomElsewhere(a, now) {
+		if !a.task.step.step.Lasting || !e.mayInterrupt(a, now) {
+			continue
+		}
+		if e.roomElsewhere(a, now) {
 			e.stop(a, now, reason)
+			continue
 		}
+		e.pool(e.poolOf(a.task.step.job)).makeHomeless(a.task.step.step)
 	}
 	// Before its lists were read, nothing is known of what an earlier owner ordered.
 	return t.listed && len(t.attempts) == 0
 }
 
+// makeHomeless notes that a task of the step has to leave its VM and has no room elsewhere.
+func (p *pool) makeHomeless(step *jobkeeper.Step) {
+	for i := range p.homeless {
+		if p.homeless[i].step == step {
+			p.homeless[i].tasks++
+			return
+		}
+	}
+	p.homeless = append(p.homeless, strandedWork{
+		step:  step,
+		tasks: 1,
+	})
+}
+
 // mayInterrupt reports whether the budget of a task's step allows to stop it now.
 func (e *Engine) mayInterrupt(a *attempt, now time.Duration) bool {
 	s := a.task.step
--- a/pkg/orchestrator/wave.go
+++ b/pkg/orchestrator/wave.go
@@ -142,6 +142,9 @@
 	if now < e.cfg.AcquiredAt+e.cfg.DutyDelay || e.wave.listedAt == 0 {
 		return
 	}
+	for _, p := range e.pools {
+		p.homeless = p.homeless[:0]
+	}
 	marked := map[string]bool{}
 	for _, w := range e.wave.active {
 		if !w.complete {
@@ -162,8 +165,9 @@
 	for _, vm := range w.VMs {
 		state, listed := e.wave.vms[vm]
 		_, busy := e.wave.busy[vm]
+		_, moves := e.wave.bound[vm]
 		switch {
-		case listed && (state.State == VMUpkeep || busy && state.State != VMMoving):
+		case listed && (state.State == VMUpkeep || busy && !moves && state.State != VMMoving):
 			down++
 		case w.done[vm]:
 		case !listed:
