--- a/pkg/orchestrator/move_test.go
+++ b/pkg/orchestrator/move_test.go
@@ -111,6 +111,36 @@
 	w.verify()
 }
 
+// A task that lasts does not start on a VM that is due for upkeep if another has room.
+func TestLastingTasksAvoidVMsThatAreDue(t *testing.T) {
+	w := newDesk(t, 6)
+	w.submit(lastingJob("a", 5, 1))
+	w.run(time.Second)
+	var due []string
+	for i := range 5 {
+		due = append(due, w.targets[w.runningOn(fmt.Sprintf("a.0.0.%d", i))].VM)
+	}
+	for _, f := range w.targets {
+		f.stopTime = 5 * time.Second // the wave takes its time
+	}
+	w.engine.AddWave(orchestrator.Wave{
+		Number:   1,
+		VMs:      due,
+		Duration: 60 * time.Second,
+		Most:     1,
+	}, nil, w.now)
+	w.run(500 * time.Millisecond)
+	w.submit(lastingJob("b", 1, 1))
+	w.run(500 * time.Millisecond)
+	on := w.runningOn("b.0.0.0")
+	for _, vm := range due {
+		if on == "" || w.targets[on].VM == vm {
+			t.Errorf("the task runs on %q, which is due for upkeep", on)
+		}
+	}
+	w.verify()
+}
+
 // VMs that can't serve what waits must not go from one pool that lacks room to the next.
 func TestUnservableWorkMovesNoVMs(t *testing.T) {
 	w := newBurst(t, 6)
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -226,6 +226,7 @@
 			Slowdown: t.slowdown,
 			Idle:     len(t.attempts) == 0,
 			Closed:   !e.usable(t, now),
+			Leaving:  e.wave.due[t.VM],
 			Filling:  t.filling,
 			Serving:  t.serving,
 		})
--- a/pkg/orchestrator/wave.go
+++ b/pkg/orchestrator/wave.go
@@ -37,7 +37,9 @@
 	// which a list shows the outcome.
 	busy map[string]time.Duration
 	// bound are the pools to which VMs were ordered, until a list shows them there.
-	bound   map[string]string
+	bound map[string]string
+	// due are the VMs that wait for their upkeep.
+	due     map[string]bool
 	retryAt map[string]time.Duration
 	active  map[int]*wave
 }
@@ -69,6 +71,7 @@
 		vms:     map[string]VM{},
 		busy:    map[string]time.Duration{},
 		bound:   map[string]string{},
+		due:     map[string]bool{},
 		retryAt: map[string]time.Duration{},
 		active:  map[int]*wave{},
 	}
@@ -145,6 +148,7 @@
 	for _, p := range e.pools {
 		p.homeless = p.homeless[:0]
 	}
+	clear(e.wave.due)
 	marked := map[string]bool{}
 	for _, w := range e.wave.active {
 		if !w.complete {
@@ -178,6 +182,7 @@
 			}
 		case state.State == VMUp && !busy:
 			left = append(left, vm)
+			e.wave.due[vm] = true
 		}
 	}
 	e.finishWave(w, now)
--- a/pkg/packer/packer.go
+++ b/pkg/packer/packer.go
@@ -25,6 +25,8 @@
 	Idle bool
 	// SameStep is the number of tasks of the step in question that run here.
 	SameStep int
+	// Leaving targets will be emptied soon, so that a task that lasts would move again.
+	Leaving bool
 	// Closed targets take no new work.
 	Closed bool
 }
@@ -44,6 +46,7 @@
 	slowWeight     = 8.0
 	neighbourCost  = 0.5 // a filling task beside one that serves, or the reverse
 	idleTargetCost = 0.3 // keeps idle targets free to move
+	leavingCost    = 8.0 // a lasting task is interrupted once more
 )
 
 // Choose returns the index of the best target for one task, or -1 if none fits.
@@ -96,6 +99,9 @@
 	if t.Idle {
 		sum += idleTargetCost
 	}
+	if t.Leaving && step.Lasting {
+		sum += leavingCost
+	}
 	if step.Filling {
 		sum += neighbourCost * float64(t.Serving)
 	}
