--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -52,8 +52,8 @@
 	Last    time.Time
 }
 
-// context lists the messages that matter for every job that is under way.
-var context = []string{
+// contextMessages matter for every job that is under way.
+var contextMessages = []string{
 	"ownership acquired", "ownership ended", "takeover", "takeover complete", "decisions paused", "deposed", "owner gives up",
 	"store lost", "store regained", "target lost", "target regained", "target restarted", "target ended", "target left out",
 }
@@ -121,7 +121,7 @@
 	switch {
 	case event.names(r.Job):
 		r.Events = append(r.Events, event)
-	case slices.Contains(context, event.Message):
+	case slices.Contains(contextMessages, event.Message):
 		event.Context = true
 		*others = append(*others, event)
 	}
--- a/internal/manager/configuration.go
+++ b/internal/manager/configuration.go
@@ -29,6 +29,8 @@
 	// HeaderTimeout and IdleTimeout bound connections of callers; zero means the default.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
+	// Ignored describes the entries that are left out because they say too little.
+	Ignored []string
 }
 
 // Route returns the route with the longest prefix that the path begins with.
@@ -142,6 +144,9 @@
 	}
 	s.cfg.Logger.Info("configuration in force", "version", c.Version, "revision", uint64(item.Version),
 		"routes", len(c.Routes), "teams", len(c.Engine.Teams), "keys", len(c.Keys), "pools", len(c.Engine.Pools))
+	if len(c.Ignored) > 0 {
+		s.cfg.Logger.Warn("entries of the configuration ignored", "version", c.Version, "entries", c.Ignored)
+	}
 }
 
 func (s *settings) notify() {
