Count metrics of jobs with the recorder's own counter

The job metrics had brought a second type for the labels of a series and a second counter beside pair and count, which did the same for two labels. One labelSet with up to three labels serves both tables. Job metrics still show a label without a value as "none", the others still leave it out.

--- a/internal/recorder/jobs.go
+++ b/internal/recorder/jobs.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"go.opentelemetry.io/otel/attribute"
 )
 
 // Names of the metrics of daemons that manage jobs.
@@ -123,24 +121,18 @@
 // NewForJobs returns a Recorder with the instruments of JobTable.
 func NewForJobs() (*Recorder, error) { return newRecorder(JobTable()) }
 
-// labelSet is the set of labels of a series with up to three labels.
-type labelSet struct {
-	key1, value1, key2, value2, key3, value3 string
-}
-
-func (l labelSet) attributes() []attribute.KeyValue {
-	var list []attribute.KeyValue
-	for _, p := range [][2]string{{l.key1, l.value1}, {l.key2, l.value2}, {l.key3, l.value3}} {
-		if p[0] == "" {
-			continue
+// filled returns the set with a value for each label that has none, so that the series
+// of jobs without a team stand beside those of teams.
+func (l labelSet) filled() labelSet {
+	fill := func(name string, value *string) {
+		if name != "" && *value == "" {
+			*value = unlabelledValue
 		}
-		value := p[1]
-		if value == "" {
-			value = unlabelledValue
-		}
-		list = append(list, attribute.String(p[0], value))
 	}
-	return list
+	fill(l.key1, &l.value1)
+	fill(l.key2, &l.value2)
+	fill(l.key3, &l.value3)
+	return l
 }
 
 // JobRequest records an answered call of a caller.
@@ -151,7 +143,7 @@
 		key2:   "verdict",
 		value2: verdict,
 	}
-	r.add(JobRequests, l)
+	r.count(JobRequests, l.filled())
 	r.record(JobRequestTime, l, took)
 }
 
@@ -179,12 +171,12 @@
 
 // TaskOrder counts an order to a target.
 func (r *Recorder) TaskOrder(kind, outcome string) {
-	r.add(TaskOrders, kindOutcome(kind, outcome))
+	r.count(TaskOrders, kindOutcome(kind, outcome).filled())
 }
 
 // VMOrder counts an order for a VM.
 func (r *Recorder) VMOrder(kind, outcome string) {
-	r.add(VMOrders, kindOutcome(kind, outcome))
+	r.count(VMOrders, kindOutcome(kind, outcome).filled())
 }
 
 func kindOutcome(kind, outcome string) labelSet {
@@ -198,12 +190,12 @@
 
 // TaskEnd counts a run that ended.
 func (r *Recorder) TaskEnd(pool, how string) {
-	r.add(TaskEnds, labelSet{
+	r.count(TaskEnds, labelSet{
 		key1:   "pool",
 		value1: pool,
 		key2:   "how",
 		value2: how,
-	})
+	}.filled())
 }
 
 // StoreDuration records a call to the store.
@@ -216,10 +208,6 @@
 	}, took)
 }
 
-func (r *Recorder) add(name string, l labelSet) {
-	r.counters[name].Add(context.Background(), 1, r.set(l))
-}
-
 func (r *Recorder) record(name string, l labelSet, d time.Duration) {
-	r.histograms[name].Record(context.Background(), d.Seconds(), r.set(l))
+	r.histograms[name].Record(context.Background(), d.Seconds(), r.set(l.filled()))
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -145,14 +145,14 @@
 	}))
 }
 
-// pair is the set of labels of a counter with one or two labels.
-type pair struct {
-	key1, value1, key2, value2 string
+// labelSet is the set of labels of a series with up to three labels.
+type labelSet struct {
+	key1, value1, key2, value2, key3, value3 string
 }
 
 // Attempt counts a start at a target.
 func (r *Recorder) Attempt(pool, result string) {
-	r.count(Attempts, pair{
+	r.count(Attempts, labelSet{
 		key1:   "pool",
 		value1: pool,
 		key2:   "result",
@@ -162,7 +162,7 @@
 
 // Forward counts a request that was sent to another entry daemon.
 func (r *Recorder) Forward(reason string) {
-	r.count(Forwards, pair{
+	r.count(Forwards, labelSet{
 		key1:   "reason",
 		value1: reason,
 	})
@@ -170,7 +170,7 @@
 
 // StoreCall counts a call to the key-value service.
 func (r *Recorder) StoreCall(op, result string) {
-	r.count(StoreCalls, pair{
+	r.count(StoreCalls, labelSet{
 		key1:   "op",
 		value1: op,
 		key2:   "result",
@@ -180,13 +180,13 @@
 
 // Restart counts a restart of a component.
 func (r *Recorder) Restart(component string) {
-	r.count(SupervisedFaults, pair{
+	r.count(SupervisedFaults, labelSet{
 		key1:   "component",
 		value1: component,
 	})
 }
 
-func (r *Recorder) count(name string, labels pair) {
+func (r *Recorder) count(name string, labels labelSet) {
 	r.counters[name].Add(context.Background(), 1, r.set(labels))
 }
 
@@ -237,10 +237,9 @@
 		add("outcome", k.Outcome)
 		add("reason", k.Reason)
 	case labelSet:
-		return k.attributes()
-	case pair:
 		add(k.key1, k.value1)
 		add(k.key2, k.value2)
+		add(k.key3, k.value3)
 	}
 	return list
 }
