--- a/internal/manager/harness_test.go
+++ b/internal/manager/harness_test.go
@@ -295,6 +295,15 @@
 	i.put("operators/config", string(data))
 }
 
+// newServingInstallation returns an installation whose one daemon has taken over, and
+// what stops it.
+func newServingInstallation(t *testing.T) (*installation, *manager.Manager, func()) {
+	i := newInstallation(t)
+	m, stop := i.start("a")
+	time.Sleep(time.Second)
+	return i, m, stop
+}
+
 // start runs a daemon and returns a function that stops it.
 func (i *installation) start(name string) (*manager.Manager, func()) {
 	began := time.Now()
--- a/internal/manager/manager_test.go
+++ b/internal/manager/manager_test.go
@@ -140,10 +140,8 @@
 // it withdrew, nor refuse one that it added.
 func TestWithdrawnKeyIsRefusedByADaemonThatHasNotHeardOfIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		i := newInstallation(t)
-		m, stop := i.start("a")
+		i, m, stop := newServingInstallation(t)
 		defer stop()
-		time.Sleep(time.Second)
 		i.configure(map[string]string{
 			"k9": "clubs",
 		})
@@ -155,10 +153,8 @@
 
 func TestCancelledJobIsShownAsCancelled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		i := newInstallation(t)
-		m, stop := i.start("a")
+		_, m, stop := newServingInstallation(t)
 		defer stop()
-		time.Sleep(time.Second)
 		m.Front().Submit(t.Context(), call("k1", "j1", smallJob()))
 		if r := m.Front().Cancel(t.Context(), call("k1", "j1", nil)); r.Verdict != manager.VerdictOK {
 			t.Fatalf("verdict is %s, want ok", r.Verdict)
@@ -175,10 +171,8 @@
 
 func TestWatchThatLostItsHistoryMissesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		i := newInstallation(t)
-		m, stop := i.start("a")
+		i, m, stop := newServingInstallation(t)
 		defer stop()
-		time.Sleep(time.Second)
 		m.Front().Submit(t.Context(), call("k1", "j1", smallJob()))
 		i.store.Compact()
 		m.Front().Submit(t.Context(), call("k1", "j2", smallJob()))
@@ -288,10 +282,8 @@
 // it knows of the configuration.
 func TestCallsThatRestOnAnOldConfigurationAreTurnedAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		i := newInstallation(t)
-		m, stop := i.start("a")
+		i, m, stop := newServingInstallation(t)
 		defer stop()
-		time.Sleep(time.Second)
 		i.store.set(func(call string, _ storer.Transaction) (before, after error) {
 			if strings.HasPrefix(call, "follow") || strings.HasPrefix(call, "scan") {
 				return storer.ErrUnavailable, nil
--- a/pkg/orchestrator/move_test.go
+++ b/pkg/orchestrator/move_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
-	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 )
 
 // newBurst returns a desk of one target whose spare pool has the given VMs, each of
@@ -91,12 +90,7 @@
 	w.run(time.Second)
 	w.submit(lastingJob("a", 4, 1))
 	w.run(8 * time.Second) // VMs that came for the job and are idle go back
-	w.engine.AddWave(orchestrator.Wave{
-		Number:   1,
-		VMs:      []string{w.targets[w.runningOn("a.0.0.0")].VM},
-		Duration: 10 * time.Second,
-		Most:     1,
-	}, nil, w.now)
+	w.startWave([]string{w.targets[w.runningOn("a.0.0.0")].VM}, 10*time.Second, 1)
 	complete := func() bool {
 		for _, state := range w.engine.TakeWaves() {
 			if state.Complete {
@@ -123,12 +117,7 @@
 	for _, f := range w.targets {
 		f.stopTime = 5 * time.Second // the wave takes its time
 	}
-	w.engine.AddWave(orchestrator.Wave{
-		Number:   1,
-		VMs:      due,
-		Duration: 60 * time.Second,
-		Most:     1,
-	}, nil, w.now)
+	w.startWave(due, 60*time.Second, 1)
 	w.run(500 * time.Millisecond)
 	w.submit(lastingJob("b", 1, 1))
 	w.run(500 * time.Millisecond)
--- a/pkg/orchestrator/orchestrator_test.go
+++ b/pkg/orchestrator/orchestrator_test.go
@@ -140,12 +140,7 @@
 			vms = append(vms, f.VM)
 		}
 	}
-	w.engine.AddWave(orchestrator.Wave{
-		Number:   1,
-		VMs:      vms,
-		Duration: 20 * time.Second,
-		Most:     5,
-	}, nil, w.now)
+	w.startWave(vms, 20*time.Second, 5)
 	w.run(time.Second)
 	for _, task := range []string{"a.0.0.1", "a.0.0.2"} {
 		if w.runningOn(task) == "" || w.starts[task] != 1 {
@@ -166,12 +161,7 @@
 		f.reachable = false
 	}
 	w.takeOver()
-	w.engine.AddWave(orchestrator.Wave{
-		Number:   1,
-		VMs:      vms,
-		Duration: 20 * time.Second,
-		Most:     4,
-	}, nil, w.now)
+	w.startWave(vms, 20*time.Second, 4)
 	w.run(500 * time.Millisecond)
 	for id, f := range w.targets {
 		if f.Born != 1 {
@@ -189,12 +179,7 @@
 	for _, f := range w.targets {
 		vms = append(vms, f.VM)
 	}
-	w.engine.AddWave(orchestrator.Wave{
-		Number:   1,
-		VMs:      vms,
-		Duration: 20 * time.Second,
-		Most:     1,
-	}, nil, w.now)
+	w.startWave(vms, 20*time.Second, 1)
 	orders := 0
 	for range 20 {
 		w.now += worldStep
@@ -221,12 +206,7 @@
 		vms = append(vms, f.VM)
 		born[id] = f.Born
 	}
-	w.engine.AddWave(orchestrator.Wave{
-		Number:   1,
-		VMs:      vms,
-		Duration: 20 * time.Second,
-		Most:     2,
-	}, nil, w.now)
+	w.startWave(vms, 20*time.Second, 2)
 	complete := false
 	w.runUntil(20*time.Second, func() bool {
 		for _, s := range w.engine.TakeWaves() {
--- a/pkg/orchestrator/world_test.go
+++ b/pkg/orchestrator/world_test.go
@@ -49,7 +49,6 @@
 	noted    map[string]bool
 	failures []string
 	starts   map[string]int
-	maxUsed  map[string]jobkeeper.Resources
 }
 
 type lateOrder struct {
@@ -71,7 +70,6 @@
 		cancelled: map[string]bool{},
 		noted:     map[string]bool{},
 		starts:    map[string]int{},
-		maxUsed:   map[string]jobkeeper.Resources{},
 
 		gangCheckpoints: map[runKey]string{},
 	}
@@ -104,6 +102,16 @@
 	}
 }
 
+// startWave begins a wave over the VMs, of which so many may be down at once.
+func (w *world) startWave(vms []string, duration time.Duration, most int) {
+	w.engine.AddWave(orchestrator.Wave{
+		Number:   1,
+		VMs:      vms,
+		Duration: duration,
+		Most:     most,
+	}, nil, w.now)
+}
+
 func (w *world) addJob(id string) {
 	p := w.stored[id]
 	if p != nil && p.State.Ended() {
