--- a/review/4/main.go
+++ b/review/4/main.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// lostFor is how long the store loses answers, and lostShare the share of writes it loses.
+	// lostFor is how long the store loses answers. It loses each lostEvery-th write.
 	lostFor   = time.Second
-	lostShare = 0.33
+	lostEvery = 3
 	// minLate and maxLate bound the time after which a lost write is carried out.
 	minLate = time.Second
 	maxLate = 6 * time.Second
@@ -85,10 +85,11 @@
 func loseWrites(in *standin.Installation) {
 	r := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))
 	var mu sync.Mutex
+	writes := 0
 	in.Store.LoseAnswers(func(t standin.Transaction) (time.Duration, bool) {
 		mu.Lock()
 		defer mu.Unlock()
-		if r.Float64() >= lostShare {
+		if writes++; writes%lostEvery != 0 {
 			return 0, false
 		}
 		after := minLate + time.Duration(r.Int64N(int64(maxLate-minLate)))
@@ -99,7 +100,7 @@
 		in.Record.Add("store: no answer to a write of %v, carried out in %v", keys, after)
 		return after, true
 	})
-	in.Record.Add("store: the answers to %v of the writes are lost from now on", lostShare)
+	in.Record.Add("store: the answer to each %d. write is lost from now on", lostEvery)
 }
 
 // submitOrWithdraw hands a job in. If it is not told whether the job was accepted, it cancels
