--- a/review/1/main.go
+++ b/review/1/main.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	workers  = 6
+	workers  = 8
 	restarts = 12
 	// downTime is how long a worker that crashes is down.
 	downTime = 300 * time.Millisecond
