--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -47,7 +47,8 @@
 	machines map[string]*Machine
 	waves    map[int]map[string]bool // machines of each wave
 	orders   []MachineOrder
-	silent   bool // calls get no answer
+	silent   bool      // calls get no answer
+	past     []*Worker // that crashed
 }
 
 // NewCloud returns a service without machines. ports returns free addresses for workers.
@@ -268,3 +269,32 @@
 	worker.Crash()
 	c.record.Add("machine %s is lost for good", name)
 }
+
+// CrashFor crashes the worker of a machine. After d the machine is back with a new worker.
+func (c *Cloud) CrashFor(name string, d time.Duration) {
+	c.mu.Lock()
+	m := c.machines[name]
+	worker := m.Worker
+	if worker == nil {
+		c.mu.Unlock()
+		return
+	}
+	m.Worker = nil
+	m.State = "down"
+	c.past = append(c.past, worker)
+	c.mu.Unlock()
+	worker.Crash()
+	time.AfterFunc(d, func() {
+		worker.Leave()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.boot(m)
+	})
+}
+
+// Past returns the workers that crashed with CrashFor.
+func (c *Cloud) Past() []*Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*Worker(nil), c.past...)
+}
--- a/review/standin/installation.go
+++ b/review/standin/installation.go
@@ -31,6 +31,7 @@
 	program string
 	ports   reserver.Ports
 	store   *httptest.Server
+	links   *silencer // connections to the store
 	cloud   *httptest.Server
 	adviser *httptest.Server
 }
@@ -75,12 +76,20 @@
 		program: program,
 	}
 	in.Cloud = NewCloud(record, in.Store, in.Adviser, in.address)
-	in.store = httptest.NewServer(in.Store.Handler())
+	in.store = httptest.NewUnstartedServer(in.Store.Handler())
+	in.links = newSilencer(in.store.Listener)
+	in.store.Listener = in.links
+	in.store.Start()
 	in.cloud = httptest.NewServer(in.Cloud.Handler())
 	in.adviser = httptest.NewServer(in.Adviser.Handler())
 	return in, nil
 }
 
+// SilenceStore makes the open connections to the store go silent for good. New ones work.
+func (in *Installation) SilenceStore() {
+	in.Record.Add("network: %d open connections to the store go silent", in.links.silence())
+}
+
 func (in *Installation) address() string {
 	a, err := in.ports.Reserve()
 	if err != nil {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -51,6 +51,7 @@
 
 	mu       sync.Mutex
 	server   *http.Server // nil while it is down
+	links    *silencer
 	life     int
 	born     time.Time
 	fence    uint64
@@ -106,11 +107,12 @@
 	if err != nil {
 		panic(err)
 	}
+	f.links = newSilencer(l)
 	f.server = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: time.Minute,
 	}
-	go f.server.Serve(l) //nolint:errcheck // ends with the life
+	go f.server.Serve(f.links) //nolint:errcheck // ends with the life
 	f.record.Add("worker %s begins life %d", f.ID, f.life)
 }
 
@@ -146,6 +148,17 @@
 	}
 }
 
+// Silence makes the open connections to the worker go silent for good, and returns how many there
+// are. New ones work.
+func (f *Worker) Silence() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.links == nil {
+		return 0
+	}
+	return f.links.silence()
+}
+
 // Leave ends the worker for good and removes its registration.
 func (f *Worker) Leave() {
 	f.Crash()
