--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,4 +1,4 @@
-// Command 7 shows that a sound job that lasts is given up as failed because workers crash.
+// Command 2 shows that a sound job that lasts is given up as failed because workers crash.
 package main
 
 import (
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,4 +1,4 @@
-// Command 2 shows that the jobs of a service no longer start when the only worker is lost that
+// Command 3 shows that the jobs of a service no longer start when the only worker is lost that
 // may run two other jobs of the service.
 package main
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,8 @@
 # is built by the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for main in review/[0-9]*/main.go; do
-  n="$(basename "$(dirname "$main")")"
-  go build -buildvcs=false -o "target/review-$n" "./review/$n"
+for main in review/[0-9]*/main.go review/more/*/main.go; do
+  folder="$(dirname "$main")"
+  name="${folder#review/}"
+  go build -buildvcs=false -o "target/review-${name//\//-}" "./$folder"
 done
--- a/review/more/advice/main.go
+++ b/review/more/advice/main.go
@@ -1,4 +1,4 @@
-// Command 6 shows that a job never runs if the workers that the adviser approves are not among
+// Command advice shows that a job never runs if the workers that the adviser approves are not among
 // the first 30 of their service.
 package main
 
--- a/review/more/silence/main.go
+++ b/review/more/silence/main.go
@@ -1,4 +1,4 @@
-// Command 9 shows that the leases of workers lapse after their connections have gone silent.
+// Command silence shows that the leases of workers lapse after their connections have gone silent.
 package main
 
 import (
--- a/review/more/upkeep/main.go
+++ b/review/more/upkeep/main.go
@@ -1,4 +1,4 @@
-// Command 3 shows that workers get no work any more if the platform says of the upkeep of their
+// Command upkeep shows that workers get no work any more if the platform says of the upkeep of their
 // machine that it is already done.
 package main
 
--- a/review/standin/installation.go
+++ b/review/standin/installation.go
@@ -61,13 +61,10 @@
 	if err != nil {
 		return nil, err
 	}
-	program, err := filepath.Abs(filepath.Join("..", "..", "target", "comfreyford"))
+	program, err := findProgram()
 	if err != nil {
 		return nil, err
 	}
-	if _, err := os.Stat(program); err != nil {
-		return nil, err
-	}
 	in := &Installation{
 		Record:  record,
 		Store:   NewStore(),
@@ -90,6 +87,21 @@
 	in.Record.Add("network: %d open connections to the store go silent", in.links.silence())
 }
 
+// findProgram returns the path of the program that the deploy file builds. The present folder is
+// that of a case.
+func findProgram() (string, error) {
+	for _, up := range []string{"../..", "../../.."} {
+		program, err := filepath.Abs(filepath.Join(up, "target", "comfreyford"))
+		if err != nil {
+			return "", err
+		}
+		if _, err := os.Stat(program); err == nil {
+			return program, nil
+		}
+	}
+	return "", errors.New("target/comfreyford is missing: build it as the deploy file says")
+}
+
 func (in *Installation) address() string {
 	a, err := in.ports.Reserve()
 	if err != nil {
