--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,51 +1,48 @@
-// Command 3 shows that the jobs of a service no longer start when the only worker is lost that
-// may run two other jobs of the service.
+// Command 3 shows that workers get no work any more if the platform says of the upkeep of their
+// machine that it is already done.
 package main
 
 import (
 	"fmt"
 	"net/http"
-	"sort"
-	"strings"
 	"time"
 
 	"github.com/comfreyford/comfreyford/review/standin"
 )
 
 const (
-	machines = 8
+	machines = 6
+	// silentFor is how long the service for machines carries out calls without an answer.
+	silentFor = 2 * time.Second
 	// finishTime is the bound finish_s, and idleTime how long a job may have nothing running
 	// after that while there is room for it.
 	finishTime = 14 * time.Second
 	idleTime   = 3 * time.Second
-	// calmTime is longer than the entry of a lost worker lasts: three heartbeats.
-	calmTime = 8 * time.Second
-	// slack is more than the stand-ins need for an answer.
-	slack = 300 * time.Millisecond
-	jobs  = 9
+	// calmTime is longer than the time without disruption before that.
+	calmTime = 5 * time.Second
+	// kind is the label that the tasks require. Two machines have it.
+	kind = "b"
 )
 
 func main() { standin.Main(run) }
 
 func run(in *standin.Installation) ([]string, error) {
-	in.Store.Configure(in.Record, 1, []standin.Route{
-		{
-			Name:    "plans",
-			Prefix:  "/plans/",
-			Service: "desk",
-			Advised: true,
-		},
-		{
-			Name:    "quotes",
-			Prefix:  "/quotes/",
-			Service: "desk",
-		},
-	}, []string{"desk"}, []standin.Tenant{{
+	in.Store.Configure(in.Record, 1, []standin.Route{{
+		Name:    "quotes",
+		Prefix:  "/quotes/",
+		Service: "desk",
+	}}, []string{"desk"}, []standin.Tenant{{
 		Name: "schools",
 		Key:  "key-1",
 	}})
+	var names []string
 	for i := range machines {
-		in.Cloud.Add(fmt.Sprintf("m-%d", i+1), "desk", 16000, "a", fmt.Sprintf("r%d", i/4+1))
+		label := "a"
+		if i < 2 {
+			label = kind
+		}
+		m := in.Cloud.Add(fmt.Sprintf("m-%d", i+1), "desk", 16000, label, fmt.Sprintf("r%d", i/2+1))
+		names = append(names, m.Name)
 	}
 	if err := in.StartDaemons(3); err != nil {
 		return nil, err
@@ -53,78 +50,54 @@
 	if _, err := in.AwaitOwner(10 * time.Second); err != nil {
 		return nil, err
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(4 * time.Second)
+	in.Cloud.AskForWave(1, 40, 2, names...)
+	if standin.Trouble() {
+		in.Record.Add("cloud: no answers from now on")
+		in.Cloud.Silence(true)
+		time.Sleep(silentFor)
+		in.Cloud.Silence(false)
+		in.Record.Add("cloud: answers again")
+	}
+	if !awaitWave(in, 60*time.Second) {
+		in.Record.Add("the wave is not complete")
+	}
+	time.Sleep(calmTime) // the last machine is back after 2 s
 	client := &standin.Client{
 		Record:   in.Record,
 		Key:      "key-1",
 		Host:     standin.Host,
 		Deadline: 3 * time.Second,
 	}
-	allowed := in.Cloud.Workers()[0].ID
-	if err := plan(in, client, "00000000000000a1", allowed, 2000, 64); err != nil {
-		return nil, err
-	}
-	time.Sleep(2 * time.Second)
-	if standin.Trouble() {
-		in.Cloud.Lose("m-1")
-	}
-	time.Sleep(calmTime)
-	if err := plan(in, client, "00000000000000a2", allowed, 1000, 256); err != nil {
-		return nil, err
-	}
-	time.Sleep(4 * time.Second)
-	accepted := map[string]time.Duration{}
-	for i := range jobs {
-		id := fmt.Sprintf("00000000000000b%d", i)
-		job := standin.Job(3, 500, 2000)
-		standin.Step(job)["MemMb"] = 512
-		if a := client.Call(in.Daemons[i%3], "POST", "/quotes/", id, job); a.Status == http.StatusOK {
-			accepted[id] = a.At
-		}
-		time.Sleep(700 * time.Millisecond)
+	const id = "00000000000000a1"
+	job := standin.Job(4, 500, 1000)
+	standin.Step(job)["Requirements"] = kind
+	a := client.Call(in.Daemons[0], "POST", "/quotes/", id, job)
+	if a.Status != http.StatusOK {
+		return nil, fmt.Errorf("the job was answered %d", a.Status)
 	}
 	time.Sleep(finishTime + idleTime)
-	return idle(in, client, accepted), nil
-}
-
-// plan hands in a job of tasks that last, which only the given worker may run.
-func plan(in *standin.Installation, client *standin.Client, id, worker string, cpu int64, memory int) error {
-	in.Adviser.Allow(id, worker)
-	job := standin.Lasting(2, cpu)
-	standin.Step(job)["MemMb"] = memory
-	if a := client.Call(in.Daemons[0], "POST", "/plans/", id, job); a.Status != http.StatusOK {
-		return fmt.Errorf("job %s was answered %d", id, a.Status)
-	}
-	return nil
-}
-
-// idle returns the accepted jobs of which nothing has run for idleTime.
-func idle(in *standin.Installation, client *standin.Client, accepted map[string]time.Duration) []string {
-	free := 0
-	began := map[string]time.Duration{}
+	state := client.Call(in.Daemons[1], "GET", "/quotes/", id, nil)
+	var free []string
 	for _, w := range in.Cloud.Workers() {
-		if w.Idle() {
-			free++
+		if len(w.Runs()) > 0 {
+			return nil, nil
 		}
-		for _, r := range w.Runs() {
-			job, _, _ := strings.Cut(r.Task, ".")
-			if at, ok := began[job]; !ok || r.Began < at {
-				began[job] = r.Began
-			}
+		if w.Labels[0] == kind {
+			free = append(free, w.ID)
 		}
 	}
-	var findings []string
-	for id, at := range accepted {
-		a := client.Call(in.Daemons[0], "GET", "/quotes/", id, nil)
-		first, ok := began[id]
-		if !ok {
-			first = in.Record.Now()
-		}
-		if first-at > idleTime+slack {
-			findings = append(findings, fmt.Sprintf("LOST: job %s was accepted at %.3f, nothing of it has run for %v (began: %v); %d of %d workers are up and idle now; state: %s",
-				id, at.Seconds(), first-at, ok, free, machines, a.Body))
+	return []string{fmt.Sprintf("LOST: job %s was accepted at %.3f, and nothing of it has run for %v; of the workers with its label, %v are up and idle; state: %s",
+		id, a.At.Seconds(), finishTime+idleTime, free, state.Body)}, nil
+}
+
+// awaitWave waits until the wave is said to be complete.
+func awaitWave(in *standin.Installation, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if string(in.Store.Value("status/wave/1")) == `{"State":"complete"}` {
+			in.Record.Add("the wave is said to be complete")
+			return true
 		}
 	}
-	sort.Strings(findings)
-	return findings
+	return false
 }
--- a/review/more/upkeep/run.sh
+++ b/review/more/crashes/run.sh
@@ -3,8 +3,8 @@
 # With TROUBLE=0 it does the same without the disruption.
 export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")" || exit 2
-[ -x ../../../target/review-more-upkeep ] || exit 2
-timeout -k 2 115 ../../../target/review-more-upkeep
+[ -x ../../../target/review-more-crashes ] || exit 2
+timeout -k 2 115 ../../../target/review-more-crashes
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
