orchestrator: a restarted target keeps runs that its present life has begun

Cause: targetRestarted took all runs of the target for runs of its earlier life. The answer to a start does not say which life gave it, and the registration with the new start time arrives up to a heartbeat after the first orders.

Change: a run that no list of the earlier life has shown stays with its target until the first lists of the present life, which settle what was lost.

TestLateAnswerOfAnEarlierLifeEndsNoRuns expected the fault itself: a start on its way counted as lost at the restart. It lists that run first now. What it checks, that a clock of an earlier life ends no runs, is unchanged.

Why it works: a run that no list of the earlier life showed is in one of two places, and the first lists of the present life tell which; until then its task has an attempt and can't start elsewhere.

--- a/pkg/orchestrator/crash.go
+++ b/pkg/orchestrator/crash.go
@@ -118,24 +118,21 @@
 	return false
 }
 
-// recordSuspectedCrash counts the end of a target as a crash, unless the target said that it would
-// leave or its VM was moved or maintained. The crash is unproven if an order for the VM may have
-// ended the target.
-func (e *Engine) recordSuspectedCrash(t *target) {
+// suspectCrash reports whether the end of a target counts as a crash: not if the target said that
+// it would leave or its VM was moved or maintained. It is not certain if an order for the VM may
+// have ended the target.
+func (e *Engine) suspectCrash(t *target) (suspected, certain bool) {
 	vm, listed := e.fleet.vms[t.VM]
 	moved := listed && t.vmOrdered && vm.Pool != t.Pool
-	if t.Draining || moved || vm.State == VMMoving || vm.State == VMMaintenance {
-		return
-	}
-	e.recordCrash(t, !t.vmOrdered)
+	return !t.Draining && !moved && vm.State != VMMoving && vm.State != VMMaintenance, !t.vmOrdered
 }
 
-// recordCrash counts the crash of a target against the tasks that may have caused it. Their runs
-// are still attached. certain is false if the target may have been unreachable instead. It returns
-// nil if no task may have caused it.
-func (e *Engine) recordCrash(on *target, certain bool) *crash {
+// recordCrash counts the crash of a target against the tasks whose runs it lost and that may have
+// caused it. The runs are still attached. certain is false if the target may have been unreachable
+// instead. It returns nil if no task may have caused it.
+func (e *Engine) recordCrash(on *target, lost []*attempt, certain bool) *crash {
 	c := &crash{
-		causes: on.crashCauses(),
+		causes: crashCauses(lost),
 	}
 	if len(c.causes) == 0 {
 		return nil
@@ -159,7 +156,7 @@
 	if !certain {
 		message = "target may have crashed"
 	}
-	e.cfg.Logger.Warn(message, "target", on.ID, "pool", on.Pool, "runs", len(on.attempts), "possible_causes", len(c.causes),
+	e.cfg.Logger.Warn(message, "target", on.ID, "pool", on.Pool, "runs", len(lost), "possible_causes", len(c.causes),
 		"last_started", first.task.id().String(), "failed_after_ms", max(0, on.failedAt-first.orderedAt).Milliseconds(),
 		"its_crashes", first.task.crashed.count(), "other_targets_failed", together)
 	limit := crashLimit
@@ -242,10 +239,10 @@
 	r.crashes = append(r.crashes, c)
 }
 
-// crashCauses returns the runs that may have caused a crash of the target, the last one that was
-// ordered first.
-func (t *target) crashCauses() []crashCause {
-	runs := t.sortedAttempts()
+// crashCauses returns those of the lost runs of a target that may have caused its crash, the last
+// one that was ordered first.
+func crashCauses(lost []*attempt) []crashCause {
+	runs := slices.Clone(lost)
 	slices.SortStableFunc(runs, func(a, b *attempt) int { return cmp.Compare(b.orderedAt, a.orderedAt) })
 	var causes []crashCause
 	for _, a := range runs {
--- a/pkg/orchestrator/earlier_life_test.go
+++ b/pkg/orchestrator/earlier_life_test.go
@@ -11,7 +11,7 @@
 // the present one seem to have expired.
 func TestLateAnswerOfAnEarlierLifeEndsNoRuns(t *testing.T) {
 	e, r := newEngineWithTarget()
-	listAt := func(clockMS int64, at time.Duration) {
+	listAt := func(clockMS int64, at time.Duration, running ...orchestrator.Run) {
 		e.Register(r, at)
 		e.HandleListing(orchestrator.Listing{
 			Request: orchestrator.ListRequest{
@@ -19,6 +19,7 @@
 			},
 			ClockMS:       clockMS,
 			StartedUnixMS: r.StartedUnixMS,
+			Running:       running,
 			SentAt:        at,
 			ReceivedAt:    at,
 		}, 0)
@@ -36,6 +37,12 @@
 	listAt(500_000, time.Second)
 	e.AddJob(testJob("j1", "schools", 5000, 1), 8, nil, 8, time.Second, 0)
 	earlier := starts(e, 1100*time.Millisecond)
+	if len(earlier) == 1 {
+		listAt(500_100, 1200*time.Millisecond, orchestrator.Run{
+			Task: earlier[0].Task,
+			Run:  earlier[0].Run,
+		})
+	}
 	r.StartedUnixMS = 2
 	listAt(10, 1300*time.Millisecond)
 	batch := e.TakeChanges(1300 * time.Millisecond) // the record of the crash
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -82,6 +82,7 @@
 	phase       phase
 	orderedAt   time.Duration
 	confirmedAt time.Duration // when the target first reported it as running
+	listed      bool          // a list of the target showed it as running
 	stopSentAt  time.Duration
 	stoppedAt   time.Duration // when the target answered the stop
 	// stopUnlessListed is true if the run was ordered to stop only because its start was not
--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -19,6 +19,9 @@
 	if !e.observeStart(t, l.StartedUnixMS, now) {
 		return
 	}
+	if t.restart != nil {
+		e.settleRestart(t, t.lostBefore(&l), now)
+	}
 	t.setClock(l.ClockMS, now)
 	if t.failedAt != 0 {
 		e.cfg.Logger.Info("target lists its runs again", "target", t.ID, "pool", t.Pool, "running", len(l.Running))
@@ -59,6 +62,7 @@
 			return false
 		}
 	}
+	a.listed = true
 	if a.phase == phaseOrdered || a.phase == phaseUnconfirmed {
 		a.phase = phaseRunning
 	}
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -64,6 +64,7 @@
 	removing          bool          // its VM was ordered to move or to be maintained
 	vmOrdered         bool          // such an order may still end it, also if it was not answered
 	terminated        bool          // it no longer runs on its VM
+	restart           *restart      // nil once the runs of its earlier life are settled
 	lapsed            *crash        // counted when its lease expired without contact; nil if none was
 	lapsedAt          time.Duration // when lapsed was set
 	trials            int           // runs that started as trials
@@ -176,14 +177,22 @@
 	return true
 }
 
-// targetRestarted ends all runs of a target and resets what was known of it before its
-// restart.
+// targetRestarted resets what was known of a target before its restart. Its runs end at once if
+// its earlier life listed them all. Otherwise some may have been started by the present life
+// before its registration arrived, so all wait for its first lists.
 func (e *Engine) targetRestarted(t *target, startedUnixMS int64, now time.Duration) {
-	e.cfg.Logger.Info("target restarted", "target", t.ID, "born", startedUnixMS, "lost_runs", len(t.attempts))
 	t.earlier = append(t.earlier, t.incarnation)
 	t.incarnation = startedUnixMS
-	e.recordSuspectedCrash(t)
-	e.endAllRuns(t, now, "target restarted")
+	if t.restart == nil {
+		t.restart = &restart{}
+		t.restart.crashed, t.restart.certain = e.suspectCrash(t)
+	}
+	t.restart.observedAt = now
+	unsettled := t.unlistedRuns()
+	e.cfg.Logger.Info("target restarted", "target", t.ID, "born", startedUnixMS, "runs", len(t.attempts), "runs_not_listed_before", unsettled)
+	if unsettled == 0 {
+		e.settleRestart(t, t.sortedAttempts(), now)
+	}
 	t.seen, t.recorded, t.acknowledged = 0, 0, 0
 	t.unrecordable = nil
 	t.clockMS, t.clockAt, t.deadlineMS = 0, 0, 0
@@ -197,7 +206,11 @@
 
 // endAllRuns ends all runs of a target on which nothing can be running any more.
 func (e *Engine) endAllRuns(t *target, now time.Duration, reason string) {
-	runs := t.sortedAttempts()
+	e.endRuns(t, t.sortedAttempts(), now, reason)
+}
+
+// endRuns ends runs that a target has certainly lost.
+func (e *Engine) endRuns(t *target, runs []*attempt, now time.Duration, reason string) {
 	for _, a := range runs {
 		e.stats.Lost++
 		e.cfg.Observer.TaskEnd(t.Pool, "lost")
@@ -222,10 +235,11 @@
 		if t.contactable(now) && t.registered {
 			continue
 		}
-		lapsed := t.listed && t.deadlineMS > 0 && now > t.lapsedBy()
+		lapsed := t.listed && t.deadlineMS > 0 && now > t.lapsedBy() || t.restart != nil && now > t.restart.lapsedBy(e.cfg.MaxLeaseDuration)
 		if lapsed && len(t.attempts) > 0 {
-			t.lapsed, t.lapsedAt = e.recordCrash(t, false), now
+			t.lapsed, t.lapsedAt = e.recordCrash(t, t.sortedAttempts(), false), now
 			e.endAllRuns(t, now, "lease lapsed without contact")
+			t.restart = nil
 		}
 		// A target that this owner never listed may run tasks that an earlier owner started.
 		unused := t.deadlineMS == 0 && (t.listed || !e.takingOver)
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
@@ -90,11 +91,28 @@
 			e.cfg.Logger.Info("target no longer runs on its VM", "target", id, "pool", t.Pool, "vm", t.VM, "vm_state", e.fleet.vms[t.VM].State, "running", len(t.attempts),
 				"list_age_ms", (now - askedAt).Milliseconds(), "last_answer_ms", (now - t.answeredAt).Milliseconds(), "registered_ms", (now - t.firstSeenAt).Milliseconds())
 		}
-		e.recordSuspectedCrash(t)
-		e.endAllRuns(t, now, "VM ended the target")
+		lost := e.runsFromBefore(t, askedAt)
+		if suspected, certain := e.suspectCrash(t); suspected {
+			e.recordCrash(t, lost, certain)
+		}
+		e.endRuns(t, lost, now, "VM ended the target")
 	}
 }
 
+// runsFromBefore returns the runs of a target that it had when a list of VMs was requested, which
+// shows that it did not run on its VM. Unless the VM was moved or maintained, the target may have
+// started again under its ID since, and begun those whose start was answered later or is on its
+// way.
+func (e *Engine) runsFromBefore(t *target, askedAt time.Duration) []*attempt {
+	runs := t.sortedAttempts()
+	if state := e.fleet.vms[t.VM].State; state == VMMoving || state == VMMaintenance {
+		return runs
+	}
+	return slices.DeleteFunc(runs, func(a *attempt) bool {
+		return a.phase == phaseOrdered || a.confirmedAt > askedAt
+	})
+}
+
 // liveTargets returns the targets that run on a VM according to the list of VMs.
 func (f *fleet) liveTargets() map[string]bool {
 	live := map[string]bool{}
