orchestrator: a step without an approved target says nothing about room

Cause: startGroups skips each step that needs at least as much as one for which no target had room. unconstrained left out steps with a label, a limit per target or a gang, but not those whose targets the adviser restricts. Long-running steps come first in the order, so every round stopped there. placeTrials draws the same conclusion for tasks on trial.

Change: unconstrained includes the adviser, for both places.

Test: TestStepsThatNeedNoAdviceStartBesideOnesThatAreApprovedNowhere. Without the change it fails for long-running tasks ("the job that needs no advice is queued") and for tasks on trial ("is running").

Why it works: only a step that could use any open target shows by its failure that none has room.

--- a/pkg/orchestrator/advice.go
+++ b/pkg/orchestrator/advice.go
@@ -34,11 +34,16 @@
 // adviceTimeout is the time after which an unanswered request is sent again.
 const adviceTimeout = 3 * time.Second
 
+// adviceRequired reports whether the step runs only on targets that the adviser has approved.
+func (e *Engine) adviceRequired(s *stepState) bool {
+	return e.conf.Queues[s.job.doc.Queue].AdviceRequired
+}
+
 // hasAdvice reports whether the tasks of a step may be placed: its queue needs no advice,
 // or unexpired advice is there. Otherwise it queues a request for the adviser, unless one
 // is pending.
 func (e *Engine) hasAdvice(s *stepState, p *pool, now time.Duration) bool {
-	if !e.conf.Queues[s.job.doc.Queue].AdviceRequired {
+	if !e.adviceRequired(s) {
 		return true
 	}
 	if s.advice.tickets != nil && now < s.advice.until {
@@ -94,7 +99,7 @@
 // closeUnapproved marks the targets as closed for which a step of a queue that requires advice
 // has no ticket.
 func (e *Engine) closeUnapproved(s *stepState, views []packer.Target) []packer.Target {
-	if !e.conf.Queues[s.job.doc.Queue].AdviceRequired {
+	if !e.adviceRequired(s) {
 		return views
 	}
 	for i := range views {
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -152,7 +152,7 @@
 		for i := range own {
 			views[i].Used, views[i].Idle, views[i].BestEffort, views[i].LatencySensitive = own[i].Used, own[i].Idle, own[i].BestEffort, own[i].LatencySensitive
 		}
-		if !placed && g.step.unconstrained() {
+		if !placed && e.unconstrained(g.step) {
 			noRoom = append(noRoom, needs)
 			if g.step.acceptsSlowTargets(now) {
 				noRoomOnSlow = append(noRoomOnSlow, needs)
@@ -211,9 +211,10 @@
 	return false
 }
 
-// unconstrained reports whether tasks of the step can run on any target with enough room.
-func (s *stepState) unconstrained() bool {
-	return s.step.PerTarget == 0 && s.step.Label == "" && !s.step.Gang
+// unconstrained reports whether tasks of the step can run on any target with enough room, so that
+// a failure to place one shows a lack of room for other steps too.
+func (e *Engine) unconstrained(s *stepState) bool {
+	return s.step.PerTarget == 0 && s.step.Label == "" && !s.step.Gang && !e.adviceRequired(s)
 }
 
 // startTasks places the waiting tasks of a step one by one. It returns false if there was no
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -314,7 +314,7 @@
 // viewFor returns the views for the placement of a step. It copies them if the step limits
 // the tasks per target or needs advice, and returns them as they are otherwise.
 func (e *Engine) viewFor(views []packer.Target, s *stepState) []packer.Target {
-	if s.step.PerTarget == 0 && !e.conf.Queues[s.job.doc.Queue].AdviceRequired {
+	if s.step.PerTarget == 0 && !e.adviceRequired(s) {
 		return views
 	}
 	own := append([]packer.Target(nil), views...)
--- a/pkg/orchestrator/trial.go
+++ b/pkg/orchestrator/trial.go
@@ -90,7 +90,7 @@
 				continue // a target that is reserved for it would wait for more targets
 			}
 			waiting = append(waiting, c)
-			if s.unconstrained() {
+			if e.unconstrained(s) {
 				noTarget = append(noTarget, s.step.Reserved())
 			}
 		}
