orchestrator: a job keeps the terms of its queue while the queue is not configured

Cause: the engine took MaxAttempts, like all settings of a queue, from the present configuration, and 1 for a queue that it lacks. By the same rule such a job lost its priority and its objective, and its starts went out without the approval of the adviser that the targets ask for.

Change: the document of a job has the terms of its queue at acceptance. queueOf returns the present queue or, if there is none, one with these terms; all settings are read through it. The terms are in the store, so that they outlive the owner.

Why it works: what a job was accepted under does not change with a later configuration, and a queue that is configured again counts as before.

--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -259,7 +259,9 @@
 	job.ID = a.id
 	job.Queue = a.route.Queue
 	job.Team = a.team
-	job.Pool = a.conf.Engine.Queues[a.route.Queue].Pool
+	queue := a.conf.Engine.Queues[a.route.Queue]
+	job.Pool = queue.Pool
+	job.Terms = queue.Terms()
 	job.AcceptedMS = f.cfg.UnixMS()
 	return &job
 }
--- a/pkg/jobkeeper/job.go
+++ b/pkg/jobkeeper/job.go
@@ -103,6 +103,17 @@
 	IntervalMS int64  `cbor:"9,keyasint,omitempty"`  // time between occurrences
 	AcceptedMS int64  `cbor:"10,keyasint"`           // Unix time in ms, by the clock of the daemon that accepted the job
 	Transfers  int    `cbor:"11,keyasint,omitempty"` // how often the job went from one cell to another
+	// Terms are those of its queue when it was accepted. They hold while the queue is not configured.
+	Terms QueueTerms `cbor:"12,keyasint,omitzero"`
+}
+
+// QueueTerms are the settings of a queue that a job needs until it ends.
+type QueueTerms struct {
+	Priority        int     `cbor:"1,keyasint,omitempty"`
+	MaxAttempts     int     `cbor:"2,keyasint,omitempty"`
+	StretchFactor   float64 `cbor:"3,keyasint,omitempty"`
+	TargetLatencyMS int64   `cbor:"4,keyasint,omitempty"`
+	AdviceRequired  bool    `cbor:"5,keyasint,omitempty"`
 }
 
 // Occurrences returns how many times the steps run.
--- a/pkg/orchestrator/advice.go
+++ b/pkg/orchestrator/advice.go
@@ -36,7 +36,7 @@
 
 // adviceRequired reports whether the step runs only on targets that the adviser has approved.
 func (e *Engine) adviceRequired(s *stepState) bool {
-	return e.conf.Queues[s.job.doc.Queue].AdviceRequired
+	return e.queueOf(s.job).AdviceRequired
 }
 
 // hasAdvice reports whether the tasks of a step may be placed: its queue needs no advice,
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -452,22 +452,33 @@
 
 // objective returns the time within which a job should end.
 func (e *Engine) objective(j *job) time.Duration {
-	return e.conf.Queues[j.doc.Queue].Objective(time.Duration(j.criticalPathMS) * time.Millisecond)
+	return e.queueOf(j).Objective(time.Duration(j.criticalPathMS) * time.Millisecond)
 }
 
-// poolOf returns the pool that runs the job: the current pool of its queue or, if the
-// queue no longer exists, the pool recorded when the job was accepted.
-func (e *Engine) poolOf(j *job) string {
+// queueOf returns the queue of the job as it is configured now or, while it is not configured, as
+// it was when the job was accepted.
+func (e *Engine) queueOf(j *job) Queue {
 	if q, ok := e.conf.Queues[j.doc.Queue]; ok {
-		return q.Pool
+		return q
+	}
+	terms := j.doc.Terms
+	return Queue{
+		Name:           j.doc.Queue,
+		Pool:           j.doc.Pool,
+		Priority:       terms.Priority,
+		MaxAttempts:    terms.MaxAttempts,
+		StretchFactor:  terms.StretchFactor,
+		TargetLatency:  time.Duration(terms.TargetLatencyMS) * time.Millisecond,
+		AdviceRequired: terms.AdviceRequired,
 	}
-	return j.doc.Pool
+}
+
+// poolOf returns the pool that runs the job.
+func (e *Engine) poolOf(j *job) string {
+	return e.queueOf(j).Pool
 }
 
 // maxAttempts returns the number of failed runs of one task at which its job fails.
 func (e *Engine) maxAttempts(j *job) int {
-	if q, ok := e.conf.Queues[j.doc.Queue]; ok && q.MaxAttempts > 0 {
-		return q.MaxAttempts
-	}
-	return 1
+	return max(1, e.queueOf(j).MaxAttempts)
 }
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -35,6 +35,17 @@
 	AdviceValidity time.Duration // how long an approval of the adviser is valid
 }
 
+// Terms returns the settings that a job of the queue keeps.
+func (q Queue) Terms() jobkeeper.QueueTerms {
+	return jobkeeper.QueueTerms{
+		Priority:        q.Priority,
+		MaxAttempts:     q.MaxAttempts,
+		StretchFactor:   q.StretchFactor,
+		TargetLatencyMS: q.TargetLatency.Milliseconds(),
+		AdviceRequired:  q.AdviceRequired,
+	}
+}
+
 // Objective returns the time from acceptance within which a job with the given critical
 // path should end.
 func (q Queue) Objective(criticalPath time.Duration) time.Duration {
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -113,7 +113,7 @@
 		Planned:     j.planned,
 		OverShare:   j.overShare,
 		Started:     j.started,
-		Priority:    e.conf.Queues[j.doc.Queue].Priority,
+		Priority:    e.queueOf(j).Priority,
 		Slack:       due - now - time.Duration(s.remainingPathMS)*time.Millisecond,
 		Arrival:     s.occurrence.due,
 	}
