manager: a job is reached through the route under which it was accepted

What callers saw: GET and DELETE for running jobs were answered 410 after the queue of their route was replaced by one with another name, or their route was made public.

Cause: readJob compared the queue and the team of the record with those that the present configuration gives for the call. The name of the queue had changed; a call on a public route has no team.

Change: documents and records have the host and prefix of the submission. A call reaches a job through its queue or through that route; the team counts only if the route needs a key now and did at acceptance. A public route that was closed had the same fault the other way round.

Jobs of other teams and of other routes stay hidden.

Why it works: host, prefix, key and ID are all that a caller has, and the record now has what of these does not change.

--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -94,6 +94,22 @@
 	id    string
 }
 
+// origin returns the route of the call as a job records it.
+func (a *authorizedCall) origin() jobkeeper.Route {
+	return jobkeeper.Route{
+		Host:   a.route.Host,
+		Prefix: a.route.Prefix,
+	}
+}
+
+// mayAccess reports whether the call may read and cancel the job of a record: it came through the
+// same queue or the same route, which may have another queue now, and for the same team. The team
+// makes no difference if the route is open now or was open when the job was accepted.
+func (a *authorizedCall) mayAccess(progress *jobkeeper.Progress) bool {
+	reached := progress.Queue == a.route.Queue || progress.Route == a.origin()
+	return reached && (a.route.Open || progress.Team == "" || progress.Team == a.team)
+}
+
 // authorize finds the queue of a call, and checks its key and job ID. If the verdict is not
 // ok, the result is the answer to the call.
 func (f *Front) authorize(call Call) (authorizedCall, Result) {
@@ -259,6 +275,7 @@
 	job.ID = a.id
 	job.Queue = a.route.Queue
 	job.Team = a.team
+	job.Route = a.origin()
 	queue := a.conf.Engine.Queues[a.route.Queue]
 	job.Pool = queue.Pool
 	job.Terms = queue.Terms()
@@ -295,6 +312,7 @@
 		State: jobkeeper.StateQueued,
 		Queue: a.route.Queue,
 		Team:  a.team,
+		Route: job.Route,
 		Cell:  cell,
 	})
 	if err != nil {
@@ -418,7 +436,7 @@
 	if err != nil {
 		return storedJob{}, err
 	}
-	if progress.State == jobkeeper.StateRefused || progress.Queue != a.route.Queue || progress.Team != a.team {
+	if progress.State == jobkeeper.StateRefused || !a.mayAccess(progress) {
 		return storedJob{}, nil
 	}
 	return storedJob{
--- a/internal/manager/harness_test.go
+++ b/internal/manager/harness_test.go
@@ -29,6 +29,7 @@
 type testConfig struct {
 	Version int64
 	Keys    map[string]string // team by key
+	Routes  []manager.Route   // empty for one to the queue quotes
 }
 
 func (testSchema) OperatorPrefix() string     { return "operators/" }
@@ -58,24 +59,15 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return nil, err
 	}
+	if len(c.Routes) == 0 {
+		c.Routes = []manager.Route{quotesRoute()}
+	}
 	conf := &manager.Configuration{
 		Version: c.Version,
-		Routes: []manager.Route{{
-			Host:   "desk.example",
-			Prefix: "/quotes/",
-			Queue:  "quotes",
-		}},
-		Keys: map[[sha256.Size]byte]string{},
+		Routes:  c.Routes,
+		Keys:    map[[sha256.Size]byte]string{},
 		Engine: orchestrator.Configuration{
-			Queues: map[string]orchestrator.Queue{
-				"quotes": {
-					Name:          "quotes",
-					Pool:          "desk",
-					MaxAttempts:   4,
-					StretchFactor: 1.6,
-					TargetLatency: 600 * time.Millisecond,
-				},
-			},
+			Queues: map[string]orchestrator.Queue{},
 			Pools: map[string]orchestrator.Pool{
 				"desk": {
 					Name: "desk",
@@ -83,12 +75,30 @@
 			},
 		},
 	}
+	for _, r := range c.Routes {
+		conf.Engine.Queues[r.Queue] = orchestrator.Queue{
+			Name:          r.Queue,
+			Pool:          "desk",
+			MaxAttempts:   4,
+			StretchFactor: 1.6,
+			TargetLatency: 600 * time.Millisecond,
+		}
+	}
 	for key, team := range c.Keys {
 		conf.Keys[sha256.Sum256([]byte(key))] = team
 	}
 	return conf, nil
 }
 
+// quotesRoute returns the route that call uses.
+func quotesRoute() manager.Route {
+	return manager.Route{
+		Host:   "desk.example",
+		Prefix: "/quotes/",
+		Queue:  "quotes",
+	}
+}
+
 func (s testSchema) Registration(item storer.Item) (orchestrator.Registration, error) {
 	return orchestrator.Registration{
 		Endpoint: orchestrator.Endpoint{
@@ -398,12 +408,14 @@
 	}
 }
 
-func (i *installation) configure(keys map[string]string) {
+// configure writes a configuration with the keys, and with the routes if there are any.
+func (i *installation) configure(keys map[string]string, routes ...manager.Route) {
 	i.t.Helper()
 	i.version++
 	data, err := json.Marshal(testConfig{
 		Version: i.version,
 		Keys:    keys,
+		Routes:  routes,
 	})
 	if err != nil {
 		i.t.Fatal(err)
--- a/pkg/jobkeeper/job.go
+++ b/pkg/jobkeeper/job.go
@@ -105,6 +105,14 @@
 	Transfers  int    `cbor:"11,keyasint,omitempty"` // how often the job went from one cell to another
 	// Terms are those of its queue when it was accepted. They hold while the queue is not configured.
 	Terms QueueTerms `cbor:"12,keyasint,omitzero"`
+	Route Route      `cbor:"13,keyasint,omitzero"` // under which it was accepted
+}
+
+// Route is the host and the path prefix of the requests for a job. Its callers go on using them
+// when the queue behind them is replaced.
+type Route struct {
+	Host   string `cbor:"1,keyasint,omitempty"`
+	Prefix string `cbor:"2,keyasint,omitempty"`
 }
 
 // QueueTerms are the settings of a queue that a job needs until it ends.
--- a/pkg/jobkeeper/progress.go
+++ b/pkg/jobkeeper/progress.go
@@ -95,6 +95,7 @@
 	FinishedOccurrences int          `cbor:"6,keyasint,omitempty"` // occurrences with lower numbers are complete
 	Tasks               []TaskRecord `cbor:"7,keyasint,omitempty"`
 	Cell                string       `cbor:"8,keyasint,omitempty"` // cell whose owner runs the job
+	Route               Route        `cbor:"9,keyasint,omitzero"`  // of Job
 }
 
 // Prefixes of store keys. The owner of a cell watches its documents and cancellations under
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -261,6 +261,7 @@
 			ID:    id,
 			Queue: progress.Queue,
 			Team:  progress.Team,
+			Route: progress.Route,
 		},
 		state:      progress.State,
 		endedMS:    progress.EndedMS,
--- a/pkg/orchestrator/progress.go
+++ b/pkg/orchestrator/progress.go
@@ -109,6 +109,7 @@
 		State:               j.state,
 		Queue:               j.doc.Queue,
 		Team:                j.doc.Team,
+		Route:               j.doc.Route,
 		EndedMS:             j.endedMS,
 		Reason:              j.reason,
 		FinishedOccurrences: j.finished,
