manager: a cancellation that finds no job keeps it from being accepted later

Cause: Front.cancel answered "no such job" from a read. The write that accepts the job could still be on its way in the store and took effect later.

Change: a cancellation that finds no record, or only a refusal, stores a mark under the key that acceptance checks, if that key is unchanged, and answers then. A submission that meets the mark is answered "not run". A job that is accepted between the read and the mark makes the mark conflict and is cancelled as usual. Refusals and marks share one piece of code and its lease. Front.cancel moves to a file of its own.

A cancellation of an unknown job costs one write more.

Why it works: the acceptance is conditional on the record as it was, so that it and the mark exclude each other in the store, whichever comes first.

--- a/internal/manager/admission.go
+++ b/internal/manager/admission.go
@@ -13,16 +13,17 @@
 )
 
 const (
-	// refusalTTL is how long a refusal stays in the store. A delayed write of an earlier
+	// markTTL is how long a mark stays in the store. A delayed write or repeat of an earlier
 	// attempt arrives within seconds.
-	refusalTTL = time.Minute
+	markTTL = time.Minute
 )
 
-// admissionControl refuses jobs that would end too late to be of use to their callers.
+// admissionControl refuses jobs that would end too late to be of use to their callers, and marks
+// the IDs of jobs that are not to be accepted.
 //
-// A refusal promises that the job never runs. An earlier attempt may have been stored without
-// an answer, or its write may still arrive. So the refusal is stored first, under the key that
-// acceptance checks.
+// A refusal promises that the job never runs, and so does the cancellation of a job that is not
+// stored. An earlier attempt may have been stored without an answer, or its write may still
+// arrive. So a mark is stored first, under the key that acceptance checks.
 type admissionControl struct {
 	cfg  Config
 	view *fleetView
@@ -59,15 +60,15 @@
 	return retryAfter, !useful
 }
 
-// refuse stores a refusal. earlier is the version of an earlier refusal of the same job, or
-// zero.
-func (c *admissionControl) refuse(ctx context.Context, a authorizedCall, earlier storer.Version) error {
+// mark stores that a job is refused or withdrawn. earlier is the version of an earlier refusal of
+// the same job, or zero.
+func (c *admissionControl) mark(ctx context.Context, a authorizedCall, state jobkeeper.State, earlier storer.Version) error {
 	lease, err := c.currentLease(ctx)
 	if err != nil {
 		return err
 	}
 	data, err := jobkeeper.EncodeProgress(&jobkeeper.Progress{
-		State: jobkeeper.StateRefused,
+		State: state,
 		Queue: a.route.Queue,
 		Team:  a.team,
 	})
@@ -95,15 +96,15 @@
 	return err
 }
 
-// currentLease returns a lease that lasts for at least half of refusalTTL.
+// currentLease returns a lease that lasts for at least half of markTTL.
 func (c *admissionControl) currentLease(ctx context.Context) (storer.LeaseID, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Clock()
-	if c.lease != 0 && now-c.grantedAt < refusalTTL/2 {
+	if c.lease != 0 && now-c.grantedAt < markTTL/2 {
 		return c.lease, nil
 	}
-	lease, _, err := c.cfg.Store.GrantLease(ctx, refusalTTL)
+	lease, _, err := c.cfg.Store.GrantLease(ctx, markTTL)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -221,12 +221,9 @@
 			}
 		case errors.As(err, &conflict):
 			f.settings.refresh(conflict.Find(f.cfg.Schema.ConfigurationKey()))
-			done, version := f.resolveConflict(a, conflict)
-			if done {
-				return Result{
-					Verdict: VerdictOK,
-					State:   jobkeeper.StateQueued,
-				}
+			settled, version := f.resolveConflict(a, conflict)
+			if settled.Verdict != "" {
+				return settled
 			}
 			refusal = version
 		case errors.Is(err, storer.ErrOutcomeUnknown):
@@ -248,7 +245,7 @@
 	ctx, cancel := f.withStoreTimeout(ctx, call)
 	defer cancel()
 	if tooLate {
-		return f.admission.refuse(ctx, a, refusal)
+		return f.admission.mark(ctx, a, jobkeeper.StateRefused, refusal)
 	}
 	transaction, err := f.acceptanceTransaction(a, job, cell, refusal)
 	if err != nil {
@@ -356,23 +353,34 @@
 // closer.
 const minStoreTimeout = 50 * time.Millisecond
 
-// resolveConflict reports whether a conflict shows that the job is already stored. If it shows
-// an earlier refusal, it returns the version of the refusal.
-func (f *Front) resolveConflict(a authorizedCall, conflict *storer.ConflictError) (bool, storer.Version) {
+// resolveConflict returns the answer to a submission if a conflict settles it: the job is already
+// stored, or was withdrawn. If the conflict shows an earlier refusal, it returns its version.
+func (f *Front) resolveConflict(a authorizedCall, conflict *storer.ConflictError) (Result, storer.Version) {
+	stored := Result{
+		Verdict: VerdictOK,
+		State:   jobkeeper.StateQueued,
+	}
 	item := conflict.Find(jobkeeper.ProgressKey(a.id))
 	if item.Version == 0 {
-		return false, 0
+		return Result{}, 0
 	}
 	progress, err := jobkeeper.DecodeProgress(item.Value)
 	if err != nil {
 		f.cfg.Logger.Error("record of a job not readable", "job", a.id, "error", err)
-		return true, 0
+		return stored, 0
 	}
-	if progress.State == jobkeeper.StateRefused {
-		return false, item.Version
+	switch progress.State {
+	case jobkeeper.StateRefused:
+		return Result{}, item.Version
+	case jobkeeper.StateWithdrawn:
+		f.cfg.Logger.Info("job not accepted, it was cancelled before", "job", a.id, "queue", a.route.Queue)
+		return Result{
+			Verdict: VerdictNotRun,
+			Reason:  "cancelled before it was accepted",
+		}, 0
 	}
 	f.cfg.Logger.Info("job already stored", "job", a.id, "queue", a.route.Queue, "state", progress.State)
-	return true, 0
+	return stored, 0
 }
 
 // State returns the state of a job, or the number of waiting jobs of a queue if the path has
@@ -406,6 +414,10 @@
 type storedJob struct {
 	state jobkeeper.State // empty if there is no such job
 	cell  string          // whose owner runs it
+	// unsettled is true if the job may still be accepted: there is no record of it but a refusal,
+	// of the given version.
+	unsettled bool
+	refusal   storer.Version
 }
 
 func (r storedJob) result() Result {
@@ -430,14 +442,19 @@
 		return storedJob{}, err
 	}
 	if item.Version == 0 {
-		return storedJob{}, nil
+		return storedJob{
+			unsettled: true,
+		}, nil
 	}
 	progress, err := jobkeeper.DecodeProgress(item.Value)
 	if err != nil {
 		return storedJob{}, err
 	}
-	if progress.State == jobkeeper.StateRefused || !a.mayAccess(progress) {
-		return storedJob{}, nil
+	if !progress.State.Accepted() || !a.mayAccess(progress) {
+		return storedJob{
+			unsettled: progress.State == jobkeeper.StateRefused,
+			refusal:   item.Version,
+		}, nil
 	}
 	return storedJob{
 		state: progress.State,
@@ -445,71 +462,6 @@
 	}, nil
 }
 
-// Cancel requests the end of a job. The verdict is ok when the request is stored or the job
-// has ended.
-func (f *Front) Cancel(ctx context.Context, call Call) Result {
-	return f.measure("cancel", func() Result { return f.cancel(ctx, call) })
-}
-
-func (f *Front) cancel(ctx context.Context, call Call) Result {
-	unanswered := false
-	for range maxCommitAttempts {
-		a, result := f.authorize(call)
-		if result.Verdict != VerdictOK {
-			return unknownIfUnanswered(result, unanswered)
-		}
-		stored, err := f.readJob(ctx, call, a)
-		if err != nil {
-			f.cfg.Logger.Warn("job not cancelled", "job", a.id, "error", err)
-			return unknownIfUnanswered(unavailable("store unavailable"), unanswered)
-		}
-		if stored.state == "" || stored.state.Ended() {
-			return stored.result()
-		}
-		err = f.commitCancel(ctx, call, a, stored.cell)
-		switch {
-		case err == nil:
-			f.cfg.Logger.Info("cancellation stored", "job", a.id, "queue", a.route.Queue, "cell", stored.cell, "state", stored.state)
-			return Result{
-				Verdict: VerdictOK,
-				State:   jobkeeper.StateCancelled,
-			}
-		case errors.Is(err, storer.ErrConflict):
-		case errors.Is(err, storer.ErrOutcomeUnknown):
-			unanswered = true
-		default:
-			f.cfg.Logger.Warn("job not cancelled", "job", a.id, "error", err)
-			return unknownIfUnanswered(unavailable("store unavailable"), unanswered)
-		}
-	}
-	return unknownIfUnanswered(Result{}, true)
-}
-
-// commitCancel stores the wish to cancel a job. It returns storer.ErrConflict if the job has
-// ended or has gone to another cell meanwhile.
-func (f *Front) commitCancel(ctx context.Context, call Call, a authorizedCall, cell string) error {
-	ctx, cancel := f.withStoreTimeout(ctx, call)
-	defer cancel()
-	document, err := f.cfg.Store.Read(ctx, jobkeeper.DocumentKey(cell, a.id))
-	if err != nil {
-		return err
-	}
-	if document.Version == 0 {
-		return storer.ErrConflict
-	}
-	_, err = f.cfg.Store.Commit(ctx, storer.Transaction{
-		Conditions: []storer.Condition{{
-			Key:     jobkeeper.DocumentKey(cell, a.id),
-			Version: document.Version,
-		}},
-		Puts: []storer.Put{{
-			Key:   jobkeeper.CancelKey(cell, a.id),
-			Value: []byte(f.cfg.Name),
-		}},
-	})
-	return err
-}
-
 func unavailable(reason string) Result {
 	return Result{
 		Verdict:    VerdictUnavailable,
--- a/pkg/jobkeeper/progress.go
+++ b/pkg/jobkeeper/progress.go
@@ -10,7 +10,8 @@
 type State string
 
 // The states of a job. StateRefused marks the ID of a job that was refused; a later request
-// with the same ID may still be accepted.
+// with the same ID may still be accepted. StateWithdrawn marks the ID of a job that was cancelled
+// before it was accepted; no later request with the same ID is accepted while the mark exists.
 const (
 	StateQueued    State = "queued"
 	StateRunning   State = "running"
@@ -18,8 +19,14 @@
 	StateFailed    State = "failed"
 	StateCancelled State = "cancelled"
 	StateRefused   State = "refused"
+	StateWithdrawn State = "withdrawn"
 )
 
+// Accepted reports whether the job was accepted.
+func (s State) Accepted() bool {
+	return s != StateRefused && s != StateWithdrawn
+}
+
 // Ended reports whether the job has ended, so that no more of its tasks start.
 func (s State) Ended() bool {
 	return s == StateComplete || s == StateFailed || s == StateCancelled
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -193,7 +193,7 @@
 		j.arrival -= age
 	}
 	e.jobs[doc.ID] = j
-	if progress != nil && progress.State != jobkeeper.StateRefused {
+	if progress != nil && progress.State.Accepted() {
 		j.state = progress.State
 		j.finished = progress.FinishedOccurrences
 		j.opened = progress.FinishedOccurrences
