platform: a stopping daemon answers the requests that it has read

What callers saw: after a SIGTERM, requests on connections that had been idle ended without an answer more than 0.2 s after they were sent.

Cause: at the end of the drain the process stopped the manager and ended. Until then it went on reading requests from open connections, and it waited for none of their answers, so that the reserve at the end of the grace period was not used.

Why it works: no request is read once idle connections are closed, and each request that was read has an answer before the process ends.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -165,6 +165,12 @@
 	return Error.Wrap(s.server.Shutdown(ctx))
 }
 
+// Shutdown reads no further request: it closes the listener and the connections without an open
+// request. It returns when the open requests are answered, or an error if ctx is done first.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return Error.Wrap(s.server.Shutdown(ctx))
+}
+
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error {
 	return Error.Wrap(errors.Join(s.listener.Close(), s.server.Close()))
