orchestrator: a target that outlives an order for its VM is opened again

Cause: vmOrder closes the target on the VM. An order that is answered as done counted as the end of that target, but a VM whose maintenance an unanswered order had carried out before keeps its target. Nothing opened it again.

Change: a list of VMs that was requested after the answer and shows the VM up opens the target that is on it.

Why it works: a carried out order ends the target before it is answered, so the target in a later list has not been ended by it.

--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -64,6 +64,8 @@
 		if !ok || vm.State == VMUp && askedAt > at {
 			e.fleet.clearOrder(id)
 			if t := e.targets[vm.Target]; t != nil {
+				// An order that was carried out before, without an answer, has left it alone.
+				t.removing = false
 				t.vmOrdered = false
 			}
 		}
