drainer: a shutdown does not wait for a connection without a request

What callers saw: nothing; found by reading. A caller that had connected and sent nothing kept a stopping daemon until 0.1 s before the end of its grace period, so that a slow end of the manager could have been cut by a kill.

Cause: net/http waits up to 5 s for the first request of a new connection.

Change: Shutdown closes what is left once no request has been open for IdleTime.

Test: TestShutdownDoesNotWaitForASilentConnection; before: the context was done after its 3 s. TestStopAnswersRequestsOnConnectionsThatWereIdle holds.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -166,9 +166,21 @@
 }
 
 // Shutdown reads no further request: it closes the listener and the connections without an open
-// request. It returns when the open requests are answered, or an error if ctx is done first.
+// request. It returns when the open requests are answered, or an error if ctx is done first. New
+// connections that send no request are kept for IdleTime.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return Error.Wrap(s.server.Shutdown(ctx))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		if s.AwaitIdle(ctx) == nil {
+			cancel()
+		}
+	}()
+	err := s.server.Shutdown(ctx)
+	if err != nil && s.open.Load() == 0 {
+		err = s.server.Close()
+	}
+	return Error.Wrap(err)
 }
 
 // Close closes the listener and all connections at once.
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -221,3 +221,34 @@
 		t.Error("malformed address accepted")
 	}
 }
+
+// Guards against a shutdown that waits for a caller which has connected and sends nothing.
+func TestShutdownDoesNotWaitForASilentConnection(t *testing.T) {
+	s, err := New("127.0.0.1:0", Config{
+		Handler: http.NotFoundHandler(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	serving := make(chan error, 1)
+	go func() { serving <- s.Serve() }()
+	conn, err := net.Dial("tcp", s.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck // ends with the test
+	for s.connections.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second) // net/http waits 5 s
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+	if ctx.Err() != nil {
+		t.Error("the shutdown waited until its context was done")
+	}
+	if err := <-serving; err != nil {
+		t.Error(err)
+	}
+}
