--- a/pkg/orchestrator/restart_test.go
+++ b/pkg/orchestrator/restart_test.go
@@ -72,9 +72,9 @@
 	const ms = time.Millisecond
 	tests := []struct {
 		name string
-		// outcome of the start, empty while it is on its way
+		// outcome is that of the start, empty while it is on its way.
 		outcome orchestrator.Outcome
-		// listed tells what the first lists of the present life show of the run.
+		// running and ended tell what the first lists of the present life show of the run.
 		running, ended bool
 		// startsAgain is true if the task has to start again after these lists.
 		startsAgain bool
--- a/pkg/orchestrator/vm_order_test.go
+++ b/pkg/orchestrator/vm_order_test.go
@@ -28,6 +28,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			e, r := newEngineWithTarget()
 			now := 2 * time.Second
+			// list passes a list of VMs to the engine, 500 ms after the last one.
 			list := func(target string) {
 				now += 500 * ms
 				state := orchestrator.VMUp
@@ -42,17 +43,11 @@
 					Capacity: r.Capacity,
 				}}, now, now)
 			}
+			// order returns the next maintenance order of the engine.
 			order := func() orchestrator.Order {
 				t.Helper()
 				for range 20 {
-					now += 500 * ms
-					e.SetVMs([]orchestrator.VM{{
-						ID:       r.VM,
-						Pool:     r.Pool,
-						State:    orchestrator.VMUp,
-						Target:   r.ID,
-						Capacity: r.Capacity,
-					}}, now, now)
+					list(r.ID)
 					e.Tick(now, 0)
 					for _, o := range e.Orders() {
 						if o.Kind == orchestrator.KindMaintenance {
