--- a/review/bed/advice.go
+++ b/review/bed/advice.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	adviceDecision = 50 * time.Millisecond
-	advicePeriod   = 15 * time.Millisecond
+	adviceDecision = 100 * time.Millisecond
+	advicePeriod   = 30 * time.Millisecond
 	adviceValidity = 10 * time.Second
 	// maxWaitingAdvice is the number of waiting calls beyond which the service refuses.
 	maxWaitingAdvice = 32
@@ -19,16 +19,18 @@
 // on one machine.
 type adviser struct {
 	record *record
-	turn   sync.Mutex // sync.Mutex is fair to those that wait for longer than a millisecond
 
-	mu       sync.Mutex
-	waiting  int
-	answered int
+	mu      sync.Mutex
+	waiting int
+	last    chan struct{} // closed when the call that came last has been handled
 }
 
 func newAdviser(r *record) *adviser {
+	last := make(chan struct{})
+	close(last)
 	return &adviser{
 		record: r,
+		last:   last,
 	}
 }
 
@@ -49,13 +51,14 @@
 		return
 	}
 	a.waiting++
+	before, handled := a.last, make(chan struct{})
+	a.last = handled
 	a.mu.Unlock()
-	a.turn.Lock()
+	<-before
 	time.Sleep(adviceDecision + time.Duration(len(body.Workers))*advicePeriod)
-	a.turn.Unlock()
+	close(handled)
 	a.mu.Lock()
 	a.waiting--
-	a.answered++
 	a.mu.Unlock()
 	left := r.Context().Err() != nil
 	a.record.add("advice for %s on %d workers answered, caller had left: %v", body.Step, len(body.Workers), left)
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -54,8 +54,12 @@
 	trouble bool
 	store   *store
 	advice  *adviser
-	daemons []*daemon
-	client  *http.Client
+	// adviceServer serves advice at its first address.
+	adviceServer *http.Server
+	daemons      []*daemon
+	client       *http.Client
+	// addresses of what the settings name
+	storeAddress, cloudAddress, adviceAddress string
 
 	mu       sync.Mutex
 	machines []*machine
@@ -67,23 +71,26 @@
 // daemon is a process of the project.
 type daemon struct {
 	name    string
+	zone    string
 	front   string
 	ready   string
+	metrics string // port
 	process *exec.Cmd
 	exited  chan struct{}
 }
 
-func serve(handler http.Handler) (address string) {
+// serve serves a handler on a new loopback address.
+func serve(handler http.Handler) (address string, server *http.Server) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	server := &http.Server{
+	server = &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: time.Minute,
 	}
 	go func() { _ = server.Serve(l) }()
-	return l.Addr().String()
+	return l.Addr().String(), server
 }
 
 // freeAddress returns a loopback address that was free a moment ago.
@@ -188,20 +195,21 @@
 
 // startDaemons starts the daemons and waits until they are ready.
 func (b *bed) startDaemons() error {
-	store, cloud, advice := serve(b.store.handler()), serve(b.cloudHandler()), serve(b.advice)
+	b.storeAddress, _ = serve(b.store.handler())
+	b.cloudAddress, _ = serve(b.cloudHandler())
+	b.adviceAddress, b.adviceServer = serve(b.advice)
 	for i := range daemons {
 		d := &daemon{
 			name:  fmt.Sprintf("edge-%d", i+1),
+			zone:  zones[i%len(zones)],
 			front: freeAddress(),
 			ready: freeAddress(),
 		}
-		_, metrics, _ := net.SplitHostPort(freeAddress())
-		file := filepath.Join(b.dir, d.name+".toml")
-		text := fmt.Sprintf(settings, d.name, zones[i%len(zones)], metrics, metrics, advice, d.front, d.ready, store, cloud)
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		_, d.metrics, _ = net.SplitHostPort(freeAddress())
+		if err := b.writeSettings(d); err != nil {
 			return err
 		}
-		if err := b.startDaemon(d, file); err != nil {
+		if err := b.startDaemon(d); err != nil {
 			return err
 		}
 		b.daemons = append(b.daemons, d)
@@ -214,14 +222,26 @@
 	return nil
 }
 
-func (b *bed) startDaemon(d *daemon, settings string) error {
+func (b *bed) settingsFile(d *daemon) string { return filepath.Join(b.dir, d.name+".toml") }
+
+// writeSettings replaces the settings file of a daemon.
+func (b *bed) writeSettings(d *daemon) error {
+	text := fmt.Sprintf(settings, d.name, d.zone, d.metrics, d.metrics, b.adviceAddress, d.front, d.ready, b.storeAddress, b.cloudAddress)
+	fresh := b.settingsFile(d) + ".new"
+	if err := os.WriteFile(fresh, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(fresh, b.settingsFile(d))
+}
+
+func (b *bed) startDaemon(d *daemon) error {
 	log, err := os.Create(filepath.Join(b.dir, d.name+".log"))
 	if err != nil {
 		return err
 	}
 	defer log.Close()
 	d.process = exec.Command("target/comfreyford", "manage")
-	d.process.Env = append(os.Environ(), "COMFREYFORD_SETTINGS="+settings)
+	d.process.Env = append(os.Environ(), "COMFREYFORD_SETTINGS="+b.settingsFile(d))
 	d.process.Stdout, d.process.Stderr = log, log
 	if err := d.process.Start(); err != nil {
 		return err
@@ -403,6 +423,7 @@
 	"flap":     playFlap,
 	"advice":   playAdvice,
 	"handover": playHandover,
+	"settings": playSettings,
 }
 
 func main() { os.Exit(play()) }
--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -101,18 +101,12 @@
 }
 
 // adviceJobs is the number of jobs that come at once: fewer than the calls that may wait.
-const adviceJobs = 20
+const adviceJobs = 15
 
-// playAdvice hands in jobs of a queue that needs advice. The service for advice needs a quarter of
-// a second for each, so that all of them have their advice after 5 s.
+// playAdvice hands in jobs of a queue that needs advice. The service for advice needs half a second
+// for each, so that all of them can have their advice after 7 s.
 func playAdvice(b *bed) (broken bool, err error) {
-	r := route("q1", "/desk/", "desk")
-	r["Recommendation"] = map[string]any{
-		"DecisionMs": adviceDecision.Milliseconds(),
-		"PeriodMs":   advicePeriod.Milliseconds(),
-		"ValidityMs": adviceValidity.Milliseconds(),
-	}
-	b.configure(1, []map[string]any{r}, services("desk"))
+	b.configure(1, []map[string]any{advisedRoute("q1", "/desk/", "desk")}, services("desk"))
 	b.addMachines("desk", 12)
 	if err := b.startDaemons(); err != nil {
 		return false, err
@@ -140,6 +134,53 @@
 	return waiting > 0, nil
 }
 
+// advisedRoute returns a route to a queue that needs advice.
+func advisedRoute(name, prefix, service string) map[string]any {
+	r := route(name, prefix, service)
+	r["Recommendation"] = map[string]any{
+		"DecisionMs": adviceDecision.Milliseconds(),
+		"PeriodMs":   advicePeriod.Milliseconds(),
+		"ValidityMs": adviceValidity.Milliseconds(),
+	}
+	return r
+}
+
+// playSettings moves the service for advice to another address, which the settings files name. The
+// owner is told that its file has changed.
+func playSettings(b *bed) (broken bool, err error) {
+	b.configure(1, []map[string]any{advisedRoute("q1", "/desk/", "desk")}, services("desk"))
+	b.addMachines("desk", 12)
+	if err := b.startDaemons(); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	if b.trouble {
+		b.adviceAddress, _ = serve(b.advice)
+		for _, d := range b.daemons {
+			if err := b.writeSettings(d); err != nil {
+				return false, err
+			}
+		}
+		owner := b.owner()
+		if owner == nil {
+			return false, fmt.Errorf("no owner")
+		}
+		b.signal(owner, syscall.SIGHUP)
+		time.Sleep(3 * time.Second)
+		_ = b.adviceServer.Close()
+		b.record.add("the service for advice has left its first address")
+	}
+	const path = "/desk/00000000000000a1"
+	if err := b.submit(path, job("cpu=2000 ms=1000 ticket=1", step(1, 2000, 1000))); err != nil {
+		return false, err
+	}
+	complete := await(30*time.Second, func() bool {
+		time.Sleep(time.Second)
+		return b.state(b.daemons[0], path) == "complete"
+	})
+	return !complete, nil
+}
+
 // handoverLease is LeaseMs of the settings.
 const handoverLease = 3 * time.Second
 
