--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -28,8 +28,10 @@
 var zones = []string{"north", "south"}
 
 const (
-	host = "jobs.example"
-	key  = "key-of-team-a"
+	host    = "jobs.example"
+	key     = "key-of-team-a"
+	prefix  = "/desk/"
+	service = "desk"
 	// daemons is the number of machines that run the daemon.
 	daemons = 3
 )
@@ -64,8 +66,6 @@
 	mu       sync.Mutex
 	machines []*machine
 	lives    int
-	orders   []vmOrder
-	ordered  chan vmOrder
 }
 
 // daemon is a process of the project.
@@ -184,12 +184,11 @@
 		record:  r,
 		dir:     dir,
 		trouble: os.Getenv("TROUBLE") != "0",
-		store:   newStore(r),
+		store:   newStore(),
 		advice:  newAdviser(r),
 		client: &http.Client{
 			Timeout: 3 * time.Second,
 		},
-		ordered: make(chan vmOrder, 256),
 	}, nil
 }
 
@@ -239,7 +238,7 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	defer log.Close() //nolint:errcheck // the process has its own descriptor
 	d.process = exec.Command("target/comfreyford", "manage")
 	d.process.Env = append(os.Environ(), "COMFREYFORD_SETTINGS="+b.settingsFile(d))
 	d.process.Stdout, d.process.Stderr = log, log
@@ -301,13 +300,16 @@
 	_ = os.RemoveAll(b.dir)
 }
 
-// configure writes a configuration of the operator. Queues are pairs of a route and its service.
-func (b *bed) configure(version int, routes []map[string]any, services []map[string]any) {
+// configure writes the configuration of the operator: one queue, on the service of all workers.
+func (b *bed) configure(route map[string]any) {
 	b.store.put("op/config", map[string]any{
-		"Version":  version,
-		"Routes":   routes,
-		"Services": services,
-		"Limits":   map[string]any{"MaxBodyBytes": 262144},
+		"Version": 1,
+		"Routes":  []map[string]any{route},
+		"Services": []map[string]any{{
+			"Name":             service,
+			"EnforcesCapacity": true,
+		}},
+		"Limits": map[string]any{"MaxBodyBytes": 262144},
 		"Tenants": []map[string]any{{
 			"Name":     "team-a",
 			"ApiKeys":  []string{key},
@@ -317,9 +319,9 @@
 	})
 }
 
-func route(name, prefix, service string) map[string]any {
+func plainRoute() map[string]any {
 	return map[string]any{
-		"Name":            name,
+		"Name":            "q1",
 		"Host":            host,
 		"Prefix":          prefix,
 		"Kind":            "non_idempotent",
@@ -422,8 +424,8 @@
 var cases = map[string]func(b *bed) (broken bool, err error){
 	"flap":     playFlap,
 	"advice":   playAdvice,
-	"handover": playHandover,
 	"settings": playSettings,
+	"reborn":   playReborn,
 }
 
 func main() { os.Exit(play()) }
--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -23,18 +23,6 @@
 	}
 }
 
-func services(names ...string) []map[string]any {
-	var list []map[string]any
-	for i, name := range names {
-		list = append(list, map[string]any{
-			"Name":             name,
-			"EnforcesCapacity": true,
-			"Standby":          i > 0,
-		})
-	}
-	return list
-}
-
 const (
 	// flapTime and flapPeriod are the largest length and the period of srv_flap in the site files.
 	flapTime   = 6500 * time.Millisecond
@@ -44,12 +32,12 @@
 // playFlap lets one worker of ten go down and up by turns while it is the only one with room. The
 // job that runs there is sound; it may be late, but not shown as failed.
 func playFlap(b *bed) (broken bool, err error) {
-	b.configure(1, []map[string]any{route("q1", "/desk/", "desk")}, services("desk"))
-	b.addMachines("desk", 10)
+	b.configure(plainRoute())
+	b.addMachines(10)
 	if err := b.startDaemons(); err != nil {
 		return false, err
 	}
-	const filler, sound = "/desk/00000000000000f1", "/desk/00000000000000a1"
+	const filler, sound = prefix + "00000000000000f1", prefix + "00000000000000a1"
 	if err := b.submit(filler, job("cpu=30000 ms=60000", step(9, 30_000, 60_000))); err != nil {
 		return false, err
 	}
@@ -106,15 +94,15 @@
 // playAdvice hands in jobs of a queue that needs advice. The service for advice needs half a second
 // for each, so that all of them can have their advice after 7 s.
 func playAdvice(b *bed) (broken bool, err error) {
-	b.configure(1, []map[string]any{advisedRoute("q1", "/desk/", "desk")}, services("desk"))
-	b.addMachines("desk", 12)
+	b.configure(advisedRoute())
+	b.addMachines(12)
 	if err := b.startDaemons(); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
 	var paths []string
 	for i := range adviceJobs {
-		path := fmt.Sprintf("/desk/%016x", i+1)
+		path := fmt.Sprintf("%s%016x", prefix, i+1)
 		paths = append(paths, path)
 		if err := b.submit(path, job("cpu=2000 ms=1000 ticket=1", step(1, 2000, 1000))); err != nil {
 			return false, err
@@ -135,8 +123,8 @@
 }
 
 // advisedRoute returns a route to a queue that needs advice.
-func advisedRoute(name, prefix, service string) map[string]any {
-	r := route(name, prefix, service)
+func advisedRoute() map[string]any {
+	r := plainRoute()
 	r["Recommendation"] = map[string]any{
 		"DecisionMs": adviceDecision.Milliseconds(),
 		"PeriodMs":   advicePeriod.Milliseconds(),
@@ -148,8 +136,8 @@
 // playSettings moves the service for advice to another address, which the settings files name. The
 // owner is told that its file has changed.
 func playSettings(b *bed) (broken bool, err error) {
-	b.configure(1, []map[string]any{advisedRoute("q1", "/desk/", "desk")}, services("desk"))
-	b.addMachines("desk", 12)
+	b.configure(advisedRoute())
+	b.addMachines(12)
 	if err := b.startDaemons(); err != nil {
 		return false, err
 	}
@@ -170,7 +158,7 @@
 		_ = b.adviceServer.Close()
 		b.record.add("the service for advice has left its first address")
 	}
-	const path = "/desk/00000000000000a1"
+	const path = prefix + "00000000000000a1"
 	if err := b.submit(path, job("cpu=2000 ms=1000 ticket=1", step(1, 2000, 1000))); err != nil {
 		return false, err
 	}
@@ -181,60 +169,68 @@
 	return !complete, nil
 }
 
-// handoverLease is LeaseMs of the settings.
-const handoverLease = 3 * time.Second
+const (
+	// rebornDown and rebornUp are how long the worker is down, twice, and up in between.
+	rebornDown = 100 * time.Millisecond
+	rebornUp   = 100 * time.Millisecond
+	// lateEntry is how late the store carries out the heartbeat of the short life. It may take 1 to
+	// 6 s.
+	lateEntry = 5 * time.Second
+)
 
-// playHandover stops the owner right after it has moved a machine, cuts the watches that wait, and
-// asks for the upkeep of the machine.
-func playHandover(b *bed) (broken bool, err error) {
-	b.configure(1, []map[string]any{route("q1", "/desk/", "desk")}, services("desk", "misc"))
-	b.addMachines("desk", 4)
-	b.addMachines("misc", 4)
+// playReborn restarts one worker of nine twice under its ID. The store carries the only heartbeat
+// of the life in between out late, when the present life runs tasks.
+func playReborn(b *bed) (broken bool, err error) {
+	b.configure(plainRoute())
+	machines := b.addMachines(2*workersARack + 1)
+	last := machines[len(machines)-1] // alone in its rack
 	if err := b.startDaemons(); err != nil {
 		return false, err
 	}
-	time.Sleep(5 * time.Second) // the first owner waits before it orders machines
-	for len(b.ordered) > 0 {
-		<-b.ordered
+	time.Sleep(3 * time.Second)
+	if b.trouble {
+		b.restart(last, rebornDown, lateEntry)
+		time.Sleep(rebornUp)
+		b.restart(last, rebornDown, 0)
 	}
-	if err := b.submit("/desk/00000000000000a1", job("cpu=30000 ms=700", step(7, 30_000, 700))); err != nil {
+	time.Sleep(time.Second)
+	s := step(6, 2000, 9000)
+	s["Affinity"] = last.rack
+	const path = prefix + "00000000000000a1"
+	if err := b.submit(path, job("cpu=2000 ms=9000", s)); err != nil {
 		return false, err
 	}
-	var order vmOrder
-	select {
-	case order = <-b.ordered:
-	case <-time.After(20 * time.Second):
-		return false, fmt.Errorf("no machine was moved")
+	twice := 0
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		twice = max(twice, b.runningTwice())
 	}
-	owner := b.owner()
-	if owner == nil {
-		return false, fmt.Errorf("no owner")
+	if state := b.state(b.daemons[0], path); state != "complete" && twice == 0 {
+		return false, fmt.Errorf("the job is %q", state)
 	}
-	if b.trouble {
-		b.store.cutWatches()
-		b.record.add("waiting watches cut")
-		b.signal(owner, syscall.SIGTERM)
-	}
-	b.record.add("upkeep of %s asked for", order.machine)
-	b.store.put("op/wave/1", map[string]any{"Wave": 1, "Machines": []string{order.machine}, "DurationS": 20, "MaxCount": 1})
-	time.Sleep(20 * time.Second)
-	return b.holdersTookTurns(), nil
+	b.record.add("%d tasks ran twice at a time", twice)
+	return twice > 0, nil
 }
 
-// holdersTookTurns reports whether two holders gave orders for one machine within LeaseMs.
-func (b *bed) holdersTookTurns() bool {
+// runningTwice returns how many tasks have two runs at the same time, on workers that are up.
+func (b *bed) runningTwice() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	last := map[string]vmOrder{}
-	found := false
-	for _, o := range b.orders {
-		before, ok := last[o.machine]
-		if ok && before.holder != o.holder {
-			apart := o.at.Sub(before.at)
-			b.record.add("%s: %s by %s, then %s by %s after %d ms", o.machine, before.what, before.holder, o.what, o.holder, apart.Milliseconds())
-			found = found || apart < handoverLease
+	runs := map[string]int{}
+	for _, m := range b.machines {
+		if m.worker == nil {
+			continue
+		}
+		m.worker.mu.Lock()
+		for _, r := range m.worker.runs {
+			runs[r.task]++
+		}
+		m.worker.mu.Unlock()
+	}
+	twice := 0
+	for _, n := range runs {
+		if n > 1 {
+			twice++
 		}
-		last[o.machine] = o
 	}
-	return found
+	return twice
 }
--- a/review/bed/cloud.go
+++ b/review/bed/cloud.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strconv"
 	"time"
 )
 
@@ -29,18 +28,8 @@
 
 func (m *machine) labels() []string { return []string{"a", m.rack} }
 
-// vmOrder is an order for a machine that the platform received.
-type vmOrder struct {
-	at      time.Time
-	machine string
-	what    string
-	holder  string
-	fence   uint64
-	status  int
-}
-
-// addMachines adds machines to a pool, each with a worker.
-func (b *bed) addMachines(pool string, n int) []*machine {
+// addMachines adds machines, each with a worker.
+func (b *bed) addMachines(n int) []*machine {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var added []*machine
@@ -48,7 +37,7 @@
 		i := len(b.machines)
 		m := &machine{
 			name:   fmt.Sprintf("m-%02d", i),
-			pool:   pool,
+			pool:   service,
 			zone:   zones[i%len(zones)],
 			rack:   fmt.Sprintf("r-%d", i/workersARack),
 			cpu:    machineCPU,
@@ -84,6 +73,31 @@
 	m.worker = b.newWorker(m)
 }
 
+// isUp reports whether a worker with the ID runs on a machine.
+func (b *bed) isUp(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range b.machines {
+		if m.worker != nil && m.worker.id == id {
+			return true
+		}
+	}
+	return false
+}
+
+// restart ends the worker of a machine and starts it again under its ID, at its address.
+func (b *bed) restart(m *machine, down, lateEntry time.Duration) {
+	b.mu.Lock()
+	old := m.worker
+	b.mu.Unlock()
+	b.crash(m)
+	time.Sleep(down)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m.state = "up"
+	m.worker = b.startWorker(m, old.id, old.address, lateEntry)
+}
+
 func (b *bed) cloudHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/machines", b.listMachines)
@@ -125,29 +139,11 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		fence, _ := strconv.ParseUint(r.Header.Get("Comfreyford-Fencing-Token"), 10, 64)
-		order := vmOrder{
-			at:      time.Now(),
-			machine: body.HostMachine,
-			what:    what,
-			holder:  r.Header.Get("Comfreyford-Duty-Holder"),
-			fence:   fence,
-		}
-		if what == "move" {
-			order.what += " to " + body.Pool
-		} else {
-			order.what += fmt.Sprintf(" of wave %d", body.Wave)
-		}
 		b.mu.Lock()
 		status, reason := b.carryOut(what, body.HostMachine, body.Pool, body.Wave)
-		order.status = status
-		b.orders = append(b.orders, order)
 		b.mu.Unlock()
-		b.record.add("order for %s: %s by %s, fencing token %d: %d %s", order.machine, order.what, order.holder, order.fence, status, reason)
-		select {
-		case b.ordered <- order:
-		default:
-		}
+		b.record.add("%s of %s, pool %q, wave %d, by %s with fencing token %s: %d %s", what, body.HostMachine, body.Pool, body.Wave,
+			r.Header.Get("Comfreyford-Duty-Holder"), r.Header.Get("Comfreyford-Fencing-Token"), status, reason)
 		answer(w, status, map[string]string{"Reason": reason})
 	}
 }
--- a/review/bed/store.go
+++ b/review/bed/store.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/storer"
@@ -20,11 +19,6 @@
 // items, the history and the leases.
 type store struct {
 	*storer.Memory
-	record *record
-
-	mu   sync.Mutex
-	cut  chan struct{} // closed to cut the watches that wait
-	cuts int
 }
 
 type storeItem struct {
@@ -37,11 +31,9 @@
 	CurrentRev uint64 `json:",omitempty"`
 }
 
-func newStore(r *record) *store {
+func newStore() *store {
 	return &store{
 		Memory: storer.NewMemory(),
-		record: r,
-		cut:    make(chan struct{}),
 	}
 }
 
@@ -68,20 +60,6 @@
 	})
 }
 
-// cutWatches breaks the connections of all watches that wait at this moment.
-func (s *store) cutWatches() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	close(s.cut)
-	s.cut = make(chan struct{})
-}
-
-func (s *store) cutSignal() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.cut
-}
-
 func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", s.getKey)
@@ -149,39 +127,14 @@
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("After"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("WaitMs"))
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
-	cut := s.cutSignal()
-	if _, err := s.WatchPrefix(ctx, q.Get("Prefix"), storer.Version(after), 0); errors.Is(err, storer.ErrHistoryLost) {
+	changes, err := s.WatchPrefix(r.Context(), q.Get("Prefix"), storer.Version(after), time.Duration(min(wait, 30_000))*time.Millisecond)
+	switch {
+	case errors.Is(err, storer.ErrHistoryLost):
 		w.WriteHeader(http.StatusGone)
 		return
-	}
-	// The status goes out at once, the body when there is something to tell.
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusOK)
-	_ = http.NewResponseController(w).Flush()
-	done := make(chan struct{})
-	defer close(done)
-	wasCut := make(chan struct{})
-	go func() {
-		select {
-		case <-done:
-		case <-cut:
-			close(wasCut)
-			cancel()
-		}
-	}()
-	changes, err := s.WatchPrefix(ctx, q.Get("Prefix"), storer.Version(after), time.Duration(min(wait, 30_000))*time.Millisecond)
-	select {
-	case <-wasCut:
-		s.mu.Lock()
-		s.cuts++
-		s.mu.Unlock()
-		panic(http.ErrAbortHandler) // breaks the connection
-	default:
-	}
-	if err != nil {
-		panic(http.ErrAbortHandler)
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
 	result := struct {
 		Events     []storeItem `json:"events"`
@@ -201,11 +154,7 @@
 		}
 		result.Events = append(result.Events, item)
 	}
-	data, err := json.Marshal(result)
-	if err != nil {
-		panic(err)
-	}
-	_, _ = w.Write(data)
+	answer(w, http.StatusOK, result)
 }
 
 func (s *store) txn(w http.ResponseWriter, r *http.Request) {
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -27,6 +27,7 @@
 	bed     *bed
 	born    time.Time
 	address string
+	late    time.Duration // how long the store takes to carry out its first heartbeat
 	server  *http.Server
 
 	mu       sync.Mutex
@@ -68,14 +69,22 @@
 	return cpu, length, ticket
 }
 
+// newWorker starts a worker on a machine. The caller holds the lock.
 func (b *bed) newWorker(m *machine) *worker {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	b.lives++
+	return b.startWorker(m, fmt.Sprintf("i-%s-%d", m.name, b.lives), "127.0.0.1:0", 0)
+}
+
+// startWorker starts a worker with an ID, at an address. If lateEntry is set, the store carries out
+// its first heartbeat only after that time.
+func (b *bed) startWorker(m *machine, id, address string, lateEntry time.Duration) *worker {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		panic(err)
 	}
-	b.lives++
 	w := &worker{
-		id:      fmt.Sprintf("i-%s-%d", m.name, b.lives),
+		id:      id,
+		late:    lateEntry,
 		machine: m,
 		bed:     b,
 		born:    time.Now(),
@@ -95,7 +104,7 @@
 	}
 	go func() { _ = w.server.Serve(l) }()
 	go w.live()
-	b.record.add("worker %s up on %s in %s", w.id, m.name, m.pool)
+	b.record.add("worker %s up on %s in %s, born %d", w.id, m.name, m.pool, w.born.UnixMilli())
 	return w
 }
 
@@ -127,7 +136,9 @@
 		if w.down {
 			w.mu.Unlock()
 			time.Sleep(3 * heartbeat)
-			w.bed.store.remove("servers/" + w.id)
+			if !w.bed.isUp(w.id) {
+				w.bed.store.remove("servers/" + w.id)
+			}
 			return
 		}
 		w.step()
@@ -152,7 +163,13 @@
 			next = time.Now().Add(heartbeat)
 		}
 		w.mu.Unlock()
-		if beat {
+		switch {
+		case beat && w.late > 0 && w.sequence == 1:
+			time.AfterFunc(w.late, func() {
+				w.bed.store.put("servers/"+w.id, entry)
+				w.bed.record.add("late heartbeat of worker %s, born %d, carried out", w.id, w.born.UnixMilli())
+			})
+		case beat:
 			w.bed.store.put("servers/"+w.id, entry)
 		}
 		time.Sleep(10 * time.Millisecond)
