orchestrator: lists alone say which life of a target is the present one

Cause: observeStart took each start time that it had not seen for that of the newest life, whether a list or a registration stated it. A registration reaches the owner through the store, which may carry out a write seconds late, so it does not tell whether its life is earlier or later than the present one; nor does the start time, because the clock may be set back.

Change: a registration of a life that no list has shown closes the target for starts and has it listed at once, without a lease or acknowledgements. A list that was requested after it arrived is by a life that is not earlier, so it settles the question. The first list of a later life says which runs are lost. If the lives have different addresses, both are asked by turns. A lapsed lease is settled as a crash by a list only, and the clock of a target does not go back.

Why it works: the lives of an ID follow each other. A life that answers a request began later than any life that had registered before the request.

Related paths that had the same judgement: a new owner that never saw the earlier life, a clock set back, lapses (crash or not), starts that wait to be sent, maintenance of a target whose present life was not listed.

Tests, failing before: TestLateRegistrationOfAnUnknownLifeEndsNoRuns (all rows), TestLateRegistrationAfterATakeoverEndsNoRuns (two of three rows), TestLateRegistrationProvesNoCrash (one of two rows). TestTargetThatRestartsAtAnotherAddressIsListedThere guards a path of the change; it passed before.

--- a/pkg/orchestrator/crash.go
+++ b/pkg/orchestrator/crash.go
@@ -315,6 +315,13 @@
 	}
 }
 
+// otherLifeSeen reports whether another life of a target whose lease has expired has registered, so
+// that its next list tells whether it had crashed.
+func (e *Engine) otherLifeSeen(l *lapse) bool {
+	t := e.targets[l.target.ID]
+	return t != nil && (len(t.otherLives) > 0 || t.incarnation != l.incarnation)
+}
+
 // settleLapse settles the crash that was counted when the lease of a target expired. Unless crashed
 // is set, it is taken back: the target was only unreachable, or its end was planned.
 func (e *Engine) settleLapse(id string, crashed bool) {
--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -16,14 +16,11 @@
 		return
 	}
 	now := l.ReceivedAt
-	if !e.observeStart(t, l.StartedUnixMS, now) {
+	if !e.observeListing(t, &l) {
 		return
 	}
-	if t.restart != nil {
-		e.settleRestart(t, t.lostBefore(&l), now)
-	}
 	if lapse, lapsed := e.lapses[t.ID]; lapsed && l.SentAt > lapse.at {
-		e.settleLapse(t.ID, lapse.incarnation == 0 || l.StartedUnixMS != lapse.incarnation)
+		e.settleLapse(t.ID, lapse.incarnation == 0 || t.incarnation != lapse.incarnation)
 	}
 	t.setClock(l.ClockMS, now)
 	if t.failedAt != 0 {
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -1,7 +1,6 @@
 package orchestrator
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -47,8 +46,10 @@
 	// unrecordable holds the lowest number of an end of each job that this cell gives, or has
 	// given, to another one.
 	unrecordable     map[string]uint64
-	incarnation      int64   // its start in Unix ms, as last stated; zero if unknown
-	earlier          []int64 // starts of its earlier lives
+	incarnation      int64       // start of its present life in Unix ms; zero if unknown
+	earlier          []int64     // starts of its earlier lives
+	otherLives       []otherLife // registered lives that may be earlier or later than the present one
+	endpoint         int         // where the next list is requested, see endpointToList
 	attempts         map[runKey]*attempt
 	unexpectedStops  map[runKey]time.Duration // when the stops of unexpected runs were last sent
 	unexpectedRuns   int                      // listed runs that are being stopped because the engine does not track them
@@ -61,20 +62,19 @@
 	evacuatingSince  time.Duration // when evacuating was last set
 	// waitsForRoomSince is since when its VM could be maintained if its tasks had room elsewhere.
 	waitsForRoomSince time.Duration
-	removing          bool     // its VM was ordered to move or to be maintained
-	vmOrdered         bool     // such an order may still end it, also if it was not answered
-	terminated        bool     // it no longer runs on its VM
-	crashRecorded     bool     // its crash is known; false again once it answers
-	restart           *restart // nil once the runs of its earlier life are settled
-	trials            int      // runs that started as trials
-	reserved          bool     // emptied for a trial
-	cordoned          bool     // closed, so that its VM can move to another pool once idle
+	removing          bool // its VM was ordered to move or to be maintained
+	vmOrdered         bool // such an order may still end it, also if it was not answered
+	terminated        bool // it no longer runs on its VM
+	crashRecorded     bool // its crash is known; false again once it answers
+	trials            int  // runs that started as trials
+	reserved          bool // emptied for a trial
+	cordoned          bool // closed, so that its VM can move to another pool once idle
 }
 
-// contactable reports whether the target was listed within contactTimeout and no call has
-// failed since.
+// contactable reports whether the target was listed within contactTimeout and since then no call
+// has failed and no other life has registered.
 func (t *target) contactable(now time.Duration) bool {
-	return t.listed && t.failedAt == 0 && now-t.answeredAt < contactTimeout
+	return t.listed && t.failedAt == 0 && now-t.answeredAt < contactTimeout && len(t.otherLives) == 0
 }
 
 // estimateClockMS returns the estimated time in ms on the target's clock. The estimate is
@@ -90,9 +90,10 @@
 	return t.clockAt + time.Duration(float64(left)*(1+clockDrift)) + 50*time.Millisecond
 }
 
-// setClock records the target's clock as stated in an answer.
+// setClock records the target's clock as stated in an answer. A clock that has gone back is that of
+// another life.
 func (t *target) setClock(clockMS int64, receivedAt time.Duration) {
-	if clockMS <= 0 || receivedAt < t.clockAt {
+	if clockMS <= 0 || clockMS < t.clockMS || receivedAt < t.clockAt {
 		return
 	}
 	t.clockMS = clockMS
@@ -107,17 +108,14 @@
 	}
 }
 
-// Register adds a target or updates its description. If it states another start than
-// before, the target has restarted and its earlier runs end. The registration of an earlier
-// life is ignored.
+// Register adds a target or updates its description. A registration of another life than the
+// present one takes effect once a list shows that the target has restarted. Until then the target
+// gets no starts. The registration of an earlier life is ignored.
 func (e *Engine) Register(r Registration, now time.Duration) {
 	t := e.targets[r.ID]
-	if t != nil && !e.observeStart(t, r.StartedUnixMS, now) {
+	if t != nil && !e.observeRegistration(t, r, now) {
 		return
 	}
-	if l, lapsed := e.lapses[r.ID]; lapsed && r.StartedUnixMS != l.incarnation {
-		e.settleLapse(r.ID, true)
-	}
 	if t == nil {
 		t = &target{
 			attempts:    map[runKey]*attempt{},
@@ -151,6 +149,7 @@
 		return
 	}
 	t.registered = false
+	t.withdrawOtherLives()
 	e.cfg.Logger.Info("target unregistered", "target", id, "pool", t.Pool, "running", len(t.attempts), "lapsed_in_ms", max(0, t.lapsedBy()-now).Milliseconds())
 	e.regroupDue = true
 }
@@ -162,49 +161,6 @@
 	}
 }
 
-// observeStart processes the start that a registration or a list states; zero if it states
-// none. It returns false if that is the start of an earlier life of the target. The starts of
-// two lives are not compared, because the clock may have been set back between them.
-func (e *Engine) observeStart(t *target, startedUnixMS int64, now time.Duration) bool {
-	switch {
-	case startedUnixMS == 0 || startedUnixMS == t.incarnation:
-	case slices.Contains(t.earlier, startedUnixMS):
-		e.cfg.Logger.Info("sign of an earlier life of a target ignored", "target", t.ID, "born", startedUnixMS, "present", t.incarnation)
-		return false
-	case t.incarnation == 0:
-		t.incarnation = startedUnixMS
-	default:
-		e.targetRestarted(t, startedUnixMS, now)
-	}
-	return true
-}
-
-// targetRestarted resets what was known of a target before its restart. Its runs end at once if
-// its earlier life listed them all. Otherwise some may have been started by the present life
-// before its registration arrived, so all wait for its first lists.
-func (e *Engine) targetRestarted(t *target, startedUnixMS int64, now time.Duration) {
-	t.earlier = append(t.earlier, t.incarnation)
-	t.incarnation = startedUnixMS
-	if t.restart == nil {
-		t.restart = &restart{}
-		t.restart.crashed, t.restart.certain = e.suspectCrash(t)
-	}
-	t.restart.observedAt = now
-	unsettled := t.unlistedRuns()
-	e.cfg.Logger.Info("target restarted", "target", t.ID, "born", startedUnixMS, "runs", len(t.attempts), "runs_not_listed_before", unsettled)
-	if unsettled == 0 {
-		e.settleRestart(t, t.sortedAttempts(), now)
-	}
-	t.seen, t.recorded, t.acknowledged = 0, 0, 0
-	t.unrecordable = nil
-	t.clockMS, t.clockAt, t.deadlineMS = 0, 0, 0
-	t.listed = false
-	t.slowdown = 1
-	t.removing = false
-	t.vmOrdered = false
-	t.terminated = false
-}
-
 // endAllRuns ends all runs of a target on which nothing can be running any more.
 func (e *Engine) endAllRuns(t *target, now time.Duration, reason string) {
 	e.endRuns(t, t.sortedAttempts(), now, reason)
@@ -236,16 +192,12 @@
 		if t.contactable(now) && t.registered {
 			continue
 		}
-		lapsed := t.listed && t.deadlineMS > 0 && now > t.lapsedBy() || t.restart != nil && now > t.restart.lapsedBy(e.cfg.MaxLeaseDuration)
+		lapsed := e.lapsed(t, now)
 		if lapsed && len(t.attempts) > 0 {
 			if suspected, _ := e.suspectCrash(t); suspected {
-				c := e.recordCrash(t, t.sortedAttempts(), false, now)
-				if t.restart == nil {
-					e.recordLapse(t, c, now)
-				}
+				e.recordLapse(t, e.recordCrash(t, t.sortedAttempts(), false, now), now)
 			}
 			e.endAllRuns(t, now, "lease lapsed without contact")
-			t.restart = nil
 		}
 		// A target that this owner never listed may run tasks that an earlier owner started.
 		unused := t.deadlineMS == 0 && (t.listed || !e.takingOver)
@@ -286,7 +238,7 @@
 	switch {
 	case !t.registered, t.Draining, t.evacuating, t.removing, t.terminated, t.cordoned:
 		return false
-	case !t.listed, t.unexpectedRuns > 0, t.failedAt != 0, now < t.closedUntil:
+	case !t.listed, t.unexpectedRuns > 0, t.failedAt != 0, now < t.closedUntil, len(t.otherLives) > 0:
 		return false
 	case !e.roster.recorded(t.ID):
 		return false
@@ -348,6 +300,13 @@
 	if t == nil {
 		return ListRequest{}, false
 	}
+	if len(t.otherLives) > 0 {
+		// Neither the numbers of ends nor the lease of one life hold for another one.
+		return ListRequest{
+			Target: t.endpointToList(),
+			Fence:  e.cfg.Fence,
+		}, true
+	}
 	request := ListRequest{
 		Target: t.Endpoint,
 		Fence:  e.cfg.Fence,
@@ -401,7 +360,13 @@
 // ListFailed reports that a list request to a target failed or was not answered.
 func (e *Engine) ListFailed(id string, now time.Duration) {
 	t := e.targets[id]
-	if t == nil || t.failedAt != 0 {
+	if t == nil {
+		return
+	}
+	if n := len(t.otherLives); n > 0 {
+		t.endpoint = (t.endpoint + 1) % (n + 1)
+	}
+	if t.failedAt != 0 {
 		return
 	}
 	e.cfg.Logger.Warn("target failed to list its runs", "target", id, "pool", t.Pool, "running", len(t.attempts), "lapsed_in_ms", max(0, t.lapsedBy()-now).Milliseconds())
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -78,7 +78,7 @@
 func (e *Engine) endTerminated(askedAt, now time.Duration) {
 	live := e.fleet.liveTargets()
 	for id, l := range e.lapses {
-		if askedAt > l.at {
+		if askedAt > l.at && !e.otherLifeSeen(&l) {
 			suspected, _ := e.suspectCrash(l.target)
 			e.settleLapse(id, suspected && !live[id])
 		}
@@ -186,8 +186,8 @@
 		}
 		e.pool(e.poolOf(a.task.step.job)).addDisplaced(a.task.step.step)
 	}
-	// Until it has been listed, it may have runs that an earlier owner started.
-	return t.listed && len(t.attempts) == 0
+	// Until its present life has been listed, it may have runs that this owner does not know.
+	return t.listed && len(t.otherLives) == 0 && len(t.attempts) == 0
 }
 
 // addDisplaced records that a task of the step has to leave its VM and fits on no other
