manager: requests to the adviser take the time that their queue states

Cause: the owner sent a request for each waiting step at once and gave each up after a constant 2.5 s, whatever the queue states. The adviser handles one request of a daemon at a time, also those whose caller has left, so an abandoned request costs as much as a live one. With more than 2.5 s of work waiting there, each repeat came behind abandoned ones and was given up too.

Change: the engine gives out two requests at a time, in the sequencer's order; a step whose request fails asks again after 0.5 to 4 s, so that others come first. adviserQueue sends the requests of all owners of a daemon.

Related path: a request that takes longer than 2.5 s however idle the adviser is was never answered.

Tests of the engine pass answers as a struct now; their checks are the same.

--- a/internal/manager/harness_test.go
+++ b/internal/manager/harness_test.go
@@ -186,6 +186,7 @@
 	vms     manager.VMService
 	client  manager.TargetClient // used instead of fleet if set
 	schema  manager.StoreSchema
+	adviser manager.Adviser
 	version int64
 	// wrapStore, if set, replaces the store of daemons that start.
 	wrapStore func(storer.TransactionalStore) storer.TransactionalStore
@@ -365,6 +366,7 @@
 		Schema:  i.schema,
 		Targets: targets,
 		VMs:     i.vms,
+		Adviser: i.adviser,
 		Clock:   func() time.Duration { return time.Since(began) + time.Hour + time.Duration(i.suspended.Load()) },
 		UnixMS:  func() int64 { return time.Now().UnixMilli() },
 		Bounds: manager.Bounds{
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -167,6 +167,7 @@
 	owners        *elector.Owners
 	ownersWatch   *prefixWatcher
 	front         *Front
+	advice        *adviserQueue
 
 	mu             sync.Mutex
 	draining       bool
@@ -187,6 +188,7 @@
 		settings: newSettings(cfg),
 		view:     newFleetView(cfg),
 		owners:   elector.NewOwners(),
+		advice:   newAdviserQueue(cfg.Adviser, cfg.Clock),
 		owned:    map[string]*owner{},
 	}
 	m.operatorWatch = newPrefixWatcher(watcherConfig{
@@ -351,7 +353,7 @@
 
 // lead runs the owner of a cell until ctx ends or the owner fails.
 func (m *Manager) lead(ctx context.Context, layout partitioner.Layout, cell string, term elector.Term) {
-	o := newOwner(m.cfg, m.settings, m.operatorWatch, m.view, layout, cell, term)
+	o := newOwner(m.cfg, m.settings, m.operatorWatch, m.view, m.advice, layout, cell, term)
 	m.setOwned(cell, o)
 	defer m.setOwned(cell, nil)
 	if err := o.run(ctx); err != nil {
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -43,6 +43,7 @@
 	intakeWatch       *prefixWatcher
 	registrationWatch *prefixWatcher
 	term              elector.Term
+	advice            *adviserQueue
 
 	mu             sync.Mutex
 	engine         *orchestrator.Engine
@@ -61,7 +62,7 @@
 	fail           context.CancelCauseFunc
 }
 
-func newOwner(cfg Config, settings *settings, operatorWatch *prefixWatcher, view *fleetView, layout partitioner.Layout, cell string, term elector.Term) *owner {
+func newOwner(cfg Config, settings *settings, operatorWatch *prefixWatcher, view *fleetView, advice *adviserQueue, layout partitioner.Layout, cell string, term elector.Term) *owner {
 	o := &owner{
 		cfg:           cfg,
 		cell:          cell,
@@ -71,6 +72,7 @@
 		settings:      settings,
 		operatorWatch: operatorWatch,
 		term:          term,
+		advice:        advice,
 		targetLoops:   map[string]*targetLoop{},
 		recorded:      make(chan struct{}),
 		wakeup:        make(chan struct{}, 1),
@@ -361,18 +363,9 @@
 
 // ask sends a request to the adviser in the background.
 func (o *owner) ask(ctx context.Context, q orchestrator.AdviceRequest) {
-	if o.cfg.Adviser == nil {
-		return
-	}
 	o.spawn(func() {
-		askedAt := o.cfg.Clock()
-		call, cancel := context.WithTimeout(ctx, adviceTimeout)
-		defer cancel()
-		tickets, validity, err := o.cfg.Adviser.Ask(call, q)
-		o.locked(func() { o.engine.HandleAdvice(q, tickets, validity, askedAt, err) })
+		answer := o.advice.ask(ctx, q)
+		o.locked(func() { o.engine.HandleAdvice(answer) })
 		o.wake()
 	})
 }
-
-// adviceTimeout bounds a request to the adviser, which answers one at a time.
-const adviceTimeout = 2500 * time.Millisecond
--- a/pkg/jobkeeper/job.go
+++ b/pkg/jobkeeper/job.go
@@ -122,6 +122,10 @@
 	StretchFactor   float64 `cbor:"3,keyasint,omitempty"`
 	TargetLatencyMS int64   `cbor:"4,keyasint,omitempty"`
 	AdviceRequired  bool    `cbor:"5,keyasint,omitempty"`
+
+	AdviceBaseMS      int64 `cbor:"6,keyasint,omitempty"`
+	AdvicePerTargetMS int64 `cbor:"7,keyasint,omitempty"`
+	AdviceValidityMS  int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Occurrences returns how many times the steps run.
--- a/pkg/orchestrator/advice.go
+++ b/pkg/orchestrator/advice.go
@@ -2,9 +2,11 @@
 
 import (
 	"maps"
+	"sort"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/packer"
+	"github.com/comfreyford/comfreyford/pkg/sequencer"
 )
 
 // maxAdvisedTargets bounds the targets in one request, because the adviser takes time
@@ -18,10 +20,13 @@
 	expiries  map[string]time.Duration // when the tickets expire, by target
 	approved  map[string]bool          // targets that were approved once
 	refused   map[string]bool          // targets that were asked about and not approved
+	wantedAt  time.Duration            // when the step last wanted a request
 	checkedAt time.Duration            // when targets to ask about were last sought
 	askedAt   time.Duration
-	pending   bool // a request was sent and not answered yet
-	offered   bool // the tasks of the step had the chance to start by the last answer
+	failures  int           // requests in a row without a usable answer
+	retryAt   time.Duration // no request before this time, after a failed one
+	pending   bool          // a request was given out and not answered yet
+	offered   bool          // the tasks of the step had the chance to start by the last answer
 }
 
 // record processes the adviser's answer about targets.
@@ -56,57 +61,118 @@
 	Occurrence int
 	Step       int
 	Targets    []string
+	// Duration is how long the adviser takes for the request by the configuration of the queue;
+	// zero if that does not say.
+	Duration time.Duration
+}
+
+// AdviceAnswer is the result of a request to the adviser.
+type AdviceAnswer struct {
+	Request    AdviceRequest
+	Tickets    map[string]string // by approved target
+	Validity   time.Duration     // of the tickets
+	SentAt     time.Duration
+	ReceivedAt time.Duration
+	Err        error // why there is no answer
 }
 
 const (
-	// adviceTimeout is the time after which an unanswered request is sent again, and after which
-	// the adviser is asked about refused targets again if it has approved none: one may have
-	// started again as another kind under its ID.
-	adviceTimeout = 3 * time.Second
+	// refusalReviewTime is the time after which the adviser is asked about refused targets again if
+	// it has approved none: one may have started again as another kind under its ID.
+	refusalReviewTime = 3 * time.Second
 	// adviceCheckInterval is the shortest time between two searches of a step for targets to ask
 	// about.
 	adviceCheckInterval = 100 * time.Millisecond
+	// maxUnansweredAdvice bounds the requests that are not answered yet. The adviser handles one at
+	// a time, so that further ones would only wait there, in the order in which they were sent.
+	maxUnansweredAdvice = 2
+	// adviceRetryDelay is the time until a step may ask again after its first failed request. It
+	// doubles with each further one, up to maxAdviceRetryDelay, so that other steps come first.
+	adviceRetryDelay    = 500 * time.Millisecond
+	maxAdviceRetryDelay = 4 * time.Second
 )
 
+// adviceRetryDelayAfter returns the time until the next request of a step after n failed ones.
+func adviceRetryDelayAfter(n int) time.Duration {
+	delay := adviceRetryDelay
+	for range n - 1 {
+		delay = min(2*delay, maxAdviceRetryDelay)
+	}
+	return delay
+}
+
 // adviceRequired reports whether the step runs only on targets that the adviser has approved.
 func (e *Engine) adviceRequired(s *stepState) bool {
 	return e.queueOf(s.job).AdviceRequired
 }
 
 // hasAdvice reports whether the tasks of a step may be placed: its queue needs no advice, or there
-// are unexpired tickets. If there are none, or those that there are were not enough, it queues a
-// request for the adviser, unless one is pending.
-func (e *Engine) hasAdvice(s *stepState, p *pool, now time.Duration) bool {
-	if !e.adviceRequired(s) {
+// are unexpired tickets. If there are none, or those that there are were not enough, the step wants
+// a request to the adviser, unless one is pending.
+func (e *Engine) hasAdvice(g group, p *pool, now time.Duration) bool {
+	if !e.adviceRequired(g.step) {
 		return true
 	}
-	a := &s.advice
+	a := &g.step.advice
 	a.expire(now)
 	ready := len(a.tickets) > 0
 	switch {
 	case ready && !a.offered:
 		a.offered = true
 		return true
-	case a.pending && now-a.askedAt < adviceTimeout, a.checkedAt > 0 && now-a.checkedAt < adviceCheckInterval:
+	case a.pending, now < a.retryAt, a.checkedAt > 0 && now-a.checkedAt < adviceCheckInterval, a.wantedAt == now:
 		return ready
 	}
-	a.checkedAt = now
-	if targets := e.targetsToAdvise(s, p, now); len(targets) > 0 {
+	a.wantedAt = now
+	e.adviceWanted = append(e.adviceWanted, adviceWish{
+		group: g,
+		pool:  p,
+	})
+	return ready
+}
+
+// adviceWish is a step that wants a request to the adviser.
+type adviceWish struct {
+	group group
+	pool  *pool
+}
+
+// requestAdvice gives out requests for the steps that want one, in the sequencer's order, as long as
+// fewer than maxUnansweredAdvice are not answered.
+func (e *Engine) requestAdvice(now time.Duration) {
+	wanted := e.adviceWanted
+	e.adviceWanted = nil
+	sort.SliceStable(wanted, func(i, j int) bool {
+		return sequencer.Compare(wanted[i].group.candidate, wanted[j].group.candidate) < 0
+	})
+	for _, w := range wanted {
+		if e.unansweredAdvice >= maxUnansweredAdvice {
+			return
+		}
+		s := w.group.step
+		a := &s.advice
+		a.checkedAt = now
+		targets := e.targetsToAdvise(s, w.pool, now)
+		if len(targets) == 0 {
+			continue
+		}
+		targets = targets[:min(len(targets), maxAdvisedTargets)]
 		a.pending = true
 		a.askedAt = now
+		e.unansweredAdvice++
 		e.adviceRequests = append(e.adviceRequests, AdviceRequest{
 			Job:        s.job.doc.ID,
 			Occurrence: s.occurrence.number,
 			Step:       s.index,
-			Targets:    targets[:min(len(targets), maxAdvisedTargets)],
+			Targets:    targets,
+			Duration:   e.queueOf(s.job).adviceDuration(len(targets)),
 		})
 	}
-	return ready
 }
 
 // targetsToAdvise returns the open targets to ask the adviser about: those that it approved and
 // whose tickets have expired or, if there are none, those that it was not asked about yet. If it
-// has refused all, it returns these after adviceTimeout.
+// has refused all, it returns these after refusalReviewTime.
 func (e *Engine) targetsToAdvise(s *stepState, p *pool, now time.Duration) []string {
 	var expired, unknown, refused []string
 	ready := false
@@ -130,36 +196,44 @@
 	switch {
 	case len(expired) > 0:
 		return expired
-	case len(unknown) == 0 && !ready && now-s.advice.askedAt >= adviceTimeout:
+	case len(unknown) == 0 && !ready && now-s.advice.askedAt >= refusalReviewTime:
 		clear(s.advice.refused)
 		return refused
 	}
 	return unknown
 }
 
-// AdviceRequests returns and removes the requests that are to be sent to the adviser.
+// AdviceRequests returns and removes the requests that are to be sent to the adviser. The answer to
+// each must be passed to HandleAdvice.
 func (e *Engine) AdviceRequests() []AdviceRequest {
 	requests := e.adviceRequests
 	e.adviceRequests = nil
 	return requests
 }
 
-// HandleAdvice processes the adviser's answer to a request. tickets are by target, for the
-// approved ones; they expire validity after askedAt, when the request was sent. An err
-// means that there was no answer.
-func (e *Engine) HandleAdvice(q AdviceRequest, tickets map[string]string, validity, askedAt time.Duration, err error) {
+// HandleAdvice processes the adviser's answer to a request, or that there was none.
+func (e *Engine) HandleAdvice(answer AdviceAnswer) {
+	e.unansweredAdvice = max(0, e.unansweredAdvice-1)
+	q := answer.Request
+	took := answer.ReceivedAt - answer.SentAt
 	j := e.jobs[q.Job]
 	if j == nil || j.occurrences[q.Occurrence] == nil {
+		e.cfg.Logger.Info("advice no longer needed", "job", q.Job, "step", q.Step, "took_ms", took.Milliseconds(), "error", answer.Err)
 		return
 	}
-	s := j.occurrences[q.Occurrence].steps[q.Step]
-	s.advice.pending = false
-	if err != nil {
-		e.cfg.Logger.Warn("adviser did not answer", "job", q.Job, "step", q.Step, "error", err)
+	a := &j.occurrences[q.Occurrence].steps[q.Step].advice
+	a.pending = false
+	if answer.Err != nil {
+		a.failures++
+		a.retryAt = answer.ReceivedAt + adviceRetryDelayAfter(a.failures)
+		e.cfg.Logger.Warn("adviser did not answer", "job", q.Job, "step", q.Step, "asked", len(q.Targets), "took_ms", took.Milliseconds(),
+			"stated_ms", q.Duration.Milliseconds(), "failures", a.failures, "error", answer.Err)
 		return
 	}
-	s.advice.record(q.Targets, tickets, askedAt+validity)
-	e.cfg.Logger.Info("adviser answered", "job", q.Job, "step", q.Step, "asked", len(q.Targets), "approved", len(tickets), "refused_so_far", len(s.advice.refused))
+	a.failures = 0
+	a.record(q.Targets, answer.Tickets, answer.SentAt+answer.Validity)
+	e.cfg.Logger.Info("adviser answered", "job", q.Job, "step", q.Step, "asked", len(q.Targets), "approved", len(answer.Tickets), "refused_so_far", len(a.refused),
+		"took_ms", took.Milliseconds(), "stated_ms", q.Duration.Milliseconds())
 }
 
 // closeUnapproved marks the targets as closed for which a step of a queue that requires advice
--- a/pkg/orchestrator/advice_test.go
+++ b/pkg/orchestrator/advice_test.go
@@ -1,11 +1,14 @@
 package orchestrator_test
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 )
 
 // Guards against steps that find no approved target and pass for a sign that the pool has no room,
@@ -57,7 +60,7 @@
 			w.submit(tt.blocked)
 			approveLostTarget := func() {
 				for _, q := range w.engine.AdviceRequests() {
-					w.engine.HandleAdvice(q, map[string]string{"lost": "ticket"}, time.Minute, w.now, nil)
+					w.advise(q, map[string]string{"lost": "ticket"}, time.Minute)
 				}
 			}
 			w.runUntil(500*time.Millisecond, func() bool {
@@ -126,7 +129,7 @@
 							tickets[id] = ticket
 						}
 					}
-					w.engine.HandleAdvice(q, tickets, validity, w.now, nil)
+					w.advise(q, tickets, validity)
 				}
 				for i := range tt.jobs {
 					if w.state(fmt.Sprintf("j%d", i)) != jobkeeper.StateComplete {
@@ -145,3 +148,98 @@
 		})
 	}
 }
+
+// newWorldWithAdvice returns a world with targets and a configuration whose queue needs advice, which
+// takes 100 ms and 10 ms for each target.
+func newWorldWithAdvice(t *testing.T, targets int) *world {
+	t.Helper()
+	conf := testConfiguration()
+	queue := conf.Queues["quotes"]
+	queue.AdviceRequired = true
+	queue.AdviceBase = 100 * time.Millisecond
+	queue.AdvicePerTarget = 10 * time.Millisecond
+	conf.Queues["quotes"] = queue
+	urgent := queue
+	urgent.Name, urgent.StretchFactor, urgent.TargetLatency = "urgent", 1, 0
+	conf.Queues["urgent"] = urgent
+	w := newWorldWithTargets(t, targets)
+	w.conf = conf
+	w.takeOver()
+	w.run(300 * time.Millisecond)
+	w.engine.AdviceRequests()
+	return w
+}
+
+// Guards against a burst of jobs that fills the adviser with requests, so that an urgent job waits
+// behind all of them.
+func TestFewRequestsWaitAtTheAdviserAndUrgentOnesComeFirst(t *testing.T) {
+	w := newWorldWithAdvice(t, 4)
+	for i := range 10 {
+		w.submit(testJob(fmt.Sprintf("j%d", i), "schools", 300, 1))
+	}
+	w.run(100 * time.Millisecond)
+	urgent := testJob("urgent", "schools", 300, 1)
+	urgent.Queue = "urgent"
+	w.submit(urgent)
+	w.run(100 * time.Millisecond)
+	first := w.engine.AdviceRequests()
+	if len(first) != 2 {
+		t.Fatalf("%d requests wait at the adviser, want 2", len(first))
+	}
+	if got, want := first[0].Duration, 140*time.Millisecond; got != want {
+		t.Errorf("a request about 4 targets takes %v, want %v", got, want)
+	}
+	w.advise(first[0], nil, time.Minute)
+	w.run(100 * time.Millisecond)
+	next := w.engine.AdviceRequests()
+	if len(next) != 1 || next[0].Job != "urgent" {
+		t.Errorf("the next requests are %v, want one for the urgent job", next)
+	}
+}
+
+// Guards against a step whose requests fail and that keeps all other steps from asking.
+func TestStepWhoseRequestsFailLetsOthersAsk(t *testing.T) {
+	w := newWorldWithAdvice(t, 4)
+	for i := range 4 {
+		w.submit(testJob(fmt.Sprintf("j%d", i), "schools", 300, 1))
+	}
+	asked, failing := 0, true
+	answer := func() {
+		for _, q := range w.engine.AdviceRequests() {
+			if q.Job == "j0" {
+				asked++
+			}
+			if q.Job == "j0" && failing {
+				w.engine.HandleAdvice(orchestrator.AdviceAnswer{
+					Request:    q,
+					SentAt:     w.now,
+					ReceivedAt: w.now,
+					Err:        context.DeadlineExceeded,
+				})
+				continue
+			}
+			w.advise(q, map[string]string{"t0": "x"}, time.Minute)
+		}
+	}
+	complete := func(jobs ...string) func() bool {
+		return func() bool {
+			answer()
+			return !slices.ContainsFunc(jobs, func(id string) bool { return w.state(id) != jobkeeper.StateComplete })
+		}
+	}
+	if !w.runUntil(3*time.Second, complete("j1", "j2", "j3")) {
+		t.Errorf("the other jobs are %s, %s and %s", w.state("j1"), w.state("j2"), w.state("j3"))
+	}
+	w.runUntil(20*time.Second, func() bool {
+		answer()
+		return false
+	})
+	if asked > 12 {
+		t.Errorf("the adviser was asked %d times for the job whose requests fail, want at most 12", asked)
+	}
+	failing = false
+	if !w.runUntil(6*time.Second, complete("j0")) {
+		t.Errorf("the job is %s once the adviser answers", w.state("j0"))
+	}
+	w.verify()
+}
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -469,6 +469,10 @@
 		StretchFactor:  terms.StretchFactor,
 		TargetLatency:  time.Duration(terms.TargetLatencyMS) * time.Millisecond,
 		AdviceRequired: terms.AdviceRequired,
+
+		AdviceBase:      time.Duration(terms.AdviceBaseMS) * time.Millisecond,
+		AdvicePerTarget: time.Duration(terms.AdvicePerTargetMS) * time.Millisecond,
+		AdviceValidity:  time.Duration(terms.AdviceValidityMS) * time.Millisecond,
 	}
 }
 
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -25,14 +25,21 @@
 
 // Queue is the configuration of a queue.
 type Queue struct {
-	Name           string
-	Pool           string
-	Priority       int
-	MaxAttempts    int
-	StretchFactor  float64       // objective of a job relative to its critical path; at least 1 is used
-	TargetLatency  time.Duration // added to the objective
-	AdviceRequired bool          // a step runs only on targets that the adviser has approved
-	AdviceValidity time.Duration // how long an approval of the adviser is valid
+	Name            string
+	Pool            string
+	Priority        int
+	MaxAttempts     int
+	StretchFactor   float64       // objective of a job relative to its critical path; at least 1 is used
+	TargetLatency   time.Duration // added to the objective
+	AdviceRequired  bool          // a step runs only on targets that the adviser has approved
+	AdviceBase      time.Duration // time that the adviser takes for a request, apart from AdvicePerTarget
+	AdvicePerTarget time.Duration // time that it takes for each target that the request names
+	AdviceValidity  time.Duration // how long an approval of the adviser is valid
+}
+
+// adviceDuration returns how long the adviser takes for a request about n targets.
+func (q Queue) adviceDuration(n int) time.Duration {
+	return q.AdviceBase + time.Duration(n)*q.AdvicePerTarget
 }
 
 // Terms returns the settings that a job of the queue keeps.
@@ -43,6 +50,10 @@
 		StretchFactor:   q.StretchFactor,
 		TargetLatencyMS: q.TargetLatency.Milliseconds(),
 		AdviceRequired:  q.AdviceRequired,
+
+		AdviceBaseMS:      q.AdviceBase.Milliseconds(),
+		AdvicePerTargetMS: q.AdvicePerTarget.Milliseconds(),
+		AdviceValidityMS:  q.AdviceValidity.Milliseconds(),
 	}
 }
 
@@ -133,7 +144,9 @@
 	teamBuckets      map[string]*tokenBucket        // by team
 	runs             uint64
 	orders           []Order
+	adviceWanted     []adviceWish
 	adviceRequests   []AdviceRequest
+	unansweredAdvice int
 	dirty            map[string]bool
 	given            map[string]givenJob // jobs that other cells run, by ID
 	stopping         []*job              // ended jobs that may have runs on targets that were not listed yet
--- a/pkg/orchestrator/orchestrator_test.go
+++ b/pkg/orchestrator/orchestrator_test.go
@@ -469,7 +469,7 @@
 			if len(q.Targets) != 2 {
 				t.Errorf("asked about the targets %v, want both", q.Targets)
 			}
-			w.engine.HandleAdvice(q, map[string]string{"t1": "ticket"}, time.Minute, w.now, nil)
+			w.advise(q, map[string]string{"t1": "ticket"}, time.Minute)
 		}
 		if on := w.runningOn("j1.0.0.0"); on != "" && on != "t1" {
 			t.Errorf("the task runs on %s, which was not approved", on)
--- a/pkg/orchestrator/removed_queue_test.go
+++ b/pkg/orchestrator/removed_queue_test.go
@@ -53,7 +53,7 @@
 	if !w.runUntil(5*time.Second, func() bool {
 		for _, q := range w.engine.AdviceRequests() {
 			asked = true
-			w.engine.HandleAdvice(q, map[string]string{"t1": "ticket"}, time.Minute, w.now, nil)
+			w.advise(q, map[string]string{"t1": "ticket"}, time.Minute)
 		}
 		if on := w.runningOn("j1.0.0.0"); on != "" && on != "t1" {
 			t.Fatalf("the task runs on %s, which was not approved", on)
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -40,6 +40,7 @@
 		e.prioritizeGang(p, groups, now)
 		e.startGroups(p, groups, now)
 	}
+	e.requestAdvice(now)
 }
 
 // waitingGroups returns the steps with tasks that could start, by pool. It stops gangs that
@@ -139,7 +140,7 @@
 			e.logWait(g, p, waitRoom, now)
 			continue
 		}
-		if !e.hasAdvice(g.step, p, now) {
+		if !e.hasAdvice(g, p, now) {
 			e.logWait(g, p, waitAdvice, now)
 			continue
 		}
--- a/pkg/orchestrator/trial.go
+++ b/pkg/orchestrator/trial.go
@@ -78,7 +78,7 @@
 			return waiting
 		case !s.step.Gang && noTarget.covers(s.step.Reserved()):
 			waiting = append(waiting, c)
-		case !e.hasAdvice(s, p, now):
+		case !e.hasAdvice(c.group, p, now):
 			e.logWait(c.group, p, waitAdvice, now)
 		case !e.withinLimit(s.job.doc.Team, s.step.Needs):
 			e.logWait(c.group, p, waitLimit, now)
--- a/pkg/orchestrator/trial_test.go
+++ b/pkg/orchestrator/trial_test.go
@@ -342,7 +342,7 @@
 					}
 					w.step()
 					for _, q := range w.engine.AdviceRequests() {
-						w.engine.HandleAdvice(q, map[string]string{"t6": "x", "t7": "x"}, time.Minute, w.now, nil)
+						w.advise(q, map[string]string{"t6": "x", "t7": "x"}, time.Minute)
 					}
 				}
 				return condition()
--- a/pkg/orchestrator/world_test.go
+++ b/pkg/orchestrator/world_test.go
@@ -370,6 +370,17 @@
 	w.engine.BatchStored(&b)
 }
 
+// advise passes the adviser's answer to a request to the engine.
+func (w *world) advise(q orchestrator.AdviceRequest, tickets map[string]string, validity time.Duration) {
+	w.engine.HandleAdvice(orchestrator.AdviceAnswer{
+		Request:    q,
+		Tickets:    tickets,
+		Validity:   validity,
+		SentAt:     w.now,
+		ReceivedAt: w.now,
+	})
+}
+
 // checkStart checks the invariants of a start: members of a gang share a checkpoint, done
 // tasks do not start again, and earlier steps come first.
 func (w *world) checkStart(o orchestrator.Order) {
