manager: a request that the adviser refuses says how much waits there

Callers would see jobs wait longer than the adviser needs: after a restart of a daemon, or beside requests that were given up, the adviser holds 32 waiting requests and refuses more with 429. The owner asked again after 0.5 s, without regard for the queue there, and the first requests that were taken had a limit that did not count the 32 before them.

Cause: 429 was an error like any other, although it states the backlog.

Change: after a refusal 32 requests like the refused one are counted as not handled, and the next one is sent after the time that one of them takes, at least 0.25 s. An answer proves them handled.

Test: the row "the adviser refuses because of requests of an earlier daemon" of TestJobsThatWaitForASlowAdviserStart fails before (2 requests given up).

--- a/internal/manager/adviser_queue.go
+++ b/internal/manager/adviser_queue.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/comfreyford/comfreyford/internal/sleeper"
 	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 )
 
@@ -34,6 +35,9 @@
 	}
 }
 
+// ErrAdviserBusy means that the adviser refused a request because too many are waiting there.
+var ErrAdviserBusy = errors.New("adviser has too many pending requests")
+
 // errNoAdviser means that the daemon has no adviser to ask.
 var errNoAdviser = errors.New("no adviser is configured")
 
@@ -61,6 +65,8 @@
 		switch {
 		case answer.Err == nil:
 			l.answered(sent, answer.ReceivedAt-answer.SentAt)
+		case errors.Is(answer.Err, ErrAdviserBusy):
+			l.refused(sent, answer.ReceivedAt)
 		case ctx.Err() != nil: // the ownership has ended; the adviser goes on
 		case call.Err() != nil:
 			l.timedOut()
@@ -71,11 +77,13 @@
 	return answer
 }
 
-// begin waits until fewer requests are under way than the adviser takes.
+// begin waits until fewer requests are under way than the adviser takes, and until it has room again
+// after it has refused one.
 func (q *adviserQueue) begin(ctx context.Context, duration time.Duration) (*sentAdvice, error) {
 	for {
 		q.mu.Lock()
-		if q.underWay < q.load.concurrency() {
+		closed := q.load.closedUntil - q.clock()
+		if closed <= 0 && q.underWay < q.load.concurrency() {
 			q.underWay++
 			sent := q.load.send(duration)
 			q.mu.Unlock()
@@ -83,6 +91,12 @@
 		}
 		ended := q.ended
 		q.mu.Unlock()
+		if closed > 0 {
+			if !sleeper.Sleep(ctx, closed) {
+				return nil, ctx.Err()
+			}
+			continue
+		}
 		select {
 		case <-ended:
 		case <-ctx.Done():
@@ -113,6 +127,8 @@
 	maxAdviceSlack = time.Minute
 	// maxAdviceBacklog is the number of requests that the adviser keeps waiting.
 	maxAdviceBacklog = 32
+	// minAdvicePause is the shortest time until the next request after a refused one.
+	minAdvicePause = 250 * time.Millisecond
 )
 
 // adviserLoad is what the adviser has to handle for this daemon.
@@ -120,6 +136,8 @@
 	sent      []*sentAdvice // not known to be handled, the oldest first; also requests that were given up
 	slack     time.Duration // allowed beyond the stated time of the requests; zero for minAdviceSlack
 	answering bool          // the last request that has ended was answered
+	// closedUntil is when the next request may be sent after one was refused.
+	closedUntil time.Duration
 }
 
 // concurrency returns how many requests may be under way. One at a time finds out how long an
@@ -168,6 +186,14 @@
 	l.slack = min(2*l.slack, maxAdviceSlack)
 }
 
+// refused records that the adviser refused a request because maxAdviceBacklog wait there, which are
+// taken to be like this one. The next one is sent when the adviser has handled one of them.
+func (l *adviserLoad) refused(s *sentAdvice, now time.Duration) {
+	l.answering = false
+	l.sent = slices.Repeat([]*sentAdvice{s}, maxAdviceBacklog)
+	l.closedUntil = now + max(s.duration, minAdvicePause)
+}
+
 // failed removes a request that the adviser does not handle.
 func (l *adviserLoad) failed(s *sentAdvice) {
 	l.sent = slices.DeleteFunc(l.sent, func(other *sentAdvice) bool { return other == s })
--- a/internal/manager/adviser_queue_test.go
+++ b/internal/manager/adviser_queue_test.go
@@ -21,10 +21,16 @@
 	lost     int           // number of first requests that are handled but not answered
 	turn     chan struct{} // holds a value while no request is handled
 
-	mu                 sync.Mutex
-	received, answered int
+	mu       sync.Mutex
+	received int
+	answered int
+	refused  int
+	waiting  int
 }
 
+// maxWaitingAdvice is the number of waiting requests at which the adviser refuses.
+const maxWaitingAdvice = 32
+
 func newSerialAdviser(takes time.Duration) *serialAdviser {
 	a := &serialAdviser{
 		takes:    takes,
@@ -38,8 +44,14 @@
 // handle handles a request when its turn has come and closes the channel that it returns.
 func (a *serialAdviser) handle() <-chan struct{} {
 	handled := make(chan struct{})
+	a.mu.Lock()
+	a.waiting++
+	a.mu.Unlock()
 	go func() {
 		<-a.turn
+		a.mu.Lock()
+		a.waiting--
+		a.mu.Unlock()
 		time.Sleep(a.takes)
 		a.turn <- struct{}{}
 		close(handled)
@@ -49,6 +61,11 @@
 
 func (a *serialAdviser) Ask(ctx context.Context, q orchestrator.AdviceRequest) (map[string]string, time.Duration, error) {
 	a.mu.Lock()
+	if a.waiting >= maxWaitingAdvice {
+		a.refused++
+		a.mu.Unlock()
+		return nil, 0, manager.ErrAdviserBusy
+	}
 	a.received++
 	lost := a.received <= a.lost
 	a.mu.Unlock()
@@ -71,10 +88,11 @@
 	return tickets, a.validity, nil
 }
 
-func (a *serialAdviser) counts() (received, answered int) {
+// counts returns how many requests were given up and how many were refused.
+func (a *serialAdviser) counts() (abandoned, refused int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.received, a.answered
+	return a.received - a.answered, a.refused
 }
 
 // advisedSchema decodes configurations whose queues need advice and state how long it takes.
@@ -110,6 +128,8 @@
 		within time.Duration
 		// wasted is the largest number of requests that may be given up.
 		wasted int
+		// refused is the largest number of requests that may be refused.
+		refused int
 	}{
 		{
 			name:   "many jobs at once",
@@ -149,6 +169,15 @@
 			within: 25*460*ms + 6*time.Second,
 			wasted: 4,
 		},
+		{
+			name:    "the adviser refuses because of requests of an earlier daemon",
+			takes:   460 * ms,
+			stated:  460 * ms,
+			jobs:    2,
+			before:  50,
+			within:  (52*460 + 6000) * ms,
+			refused: 20,
+		},
 		{
 			name:   "a request is not answered",
 			takes:  100 * ms,
@@ -190,8 +219,12 @@
 						t.Errorf("%s is %s %s after %v, want complete", id, r.Verdict, r.State, tt.within)
 					}
 				}
-				if received, answered := a.counts(); received-answered > tt.wasted {
-					t.Errorf("%d of %d requests were given up, want at most %d", received-answered, received, tt.wasted)
+				abandoned, refused := a.counts()
+				if abandoned > tt.wasted {
+					t.Errorf("%d requests were given up, want at most %d", abandoned, tt.wasted)
+				}
+				if refused > tt.refused {
+					t.Errorf("%d requests were refused, want at most %d", refused, tt.refused)
 				}
 			})
 		})
