orchestrator: a refused ticket does not remove those for other targets

Callers would see a job wait for one more request to the adviser, half a second and more, each time a worker that had started again refused its ticket, although other approved workers were idle.

Cause: after a start that was refused for its ticket, advice.discard removed the tickets for all targets of the step. A ticket ends with the life of its own target.

Change: only the ticket for that target is removed; as the target was approved before, the adviser is asked about it again.

Test: TestTicketThatOneTargetRefusesLeavesTheOthers, no start before the change.

--- a/pkg/orchestrator/advice.go
+++ b/pkg/orchestrator/advice.go
@@ -51,8 +51,10 @@
 	maps.DeleteFunc(a.tickets, func(id, _ string) bool { return now >= a.expiries[id] })
 }
 
-func (a *advice) discard() {
-	clear(a.tickets)
+// discard removes the ticket for a target, which has refused it. Tickets for others are as valid as
+// before: the target may have started again.
+func (a *advice) discard(target string) {
+	delete(a.tickets, target)
 }
 
 // AdviceRequest asks the adviser which targets may run a step.
--- a/pkg/orchestrator/advice_test.go
+++ b/pkg/orchestrator/advice_test.go
@@ -243,3 +243,40 @@
 	}
 	w.verify()
 }
+
+// Guards against a target that refuses its ticket, because it has started again, and takes those for
+// all other targets with it.
+func TestTicketThatOneTargetRefusesLeavesTheOthers(t *testing.T) {
+	e, r := newEngineWithTarget()
+	conf := testConfiguration()
+	queue := conf.Queues["quotes"]
+	queue.AdviceRequired = true
+	conf.Queues["quotes"] = queue
+	e.Configure(conf)
+	second := r
+	second.ID, second.VM = "t2", "vm2"
+	e.Register(second, time.Second)
+	e.HandleListing(listingOf(second, time.Second), 0)
+	recordChanges(e, time.Second)
+	recordChanges(e, time.Second)
+	e.AddJob(testJob("j1", "schools", 300, 1), 8, nil, 8, time.Second, 0)
+	e.Tick(1100*time.Millisecond, 0)
+	for _, q := range e.AdviceRequests() {
+		e.HandleAdvice(orchestrator.AdviceAnswer{
+			Request:    q,
+			Tickets:    map[string]string{"t1": "x", "t2": "y"},
+			Validity:   time.Minute,
+			SentAt:     1100 * time.Millisecond,
+			ReceivedAt: 1200 * time.Millisecond,
+		})
+	}
+	first := starts(e, 1250*time.Millisecond)
+	if len(first) != 1 {
+		t.Fatalf("%d starts, want 1", len(first))
+	}
+	e.HandleAnswer(answerTo(first[0], orchestrator.OutcomeBadTicket, 1300*time.Millisecond), 1300*time.Millisecond)
+	next := starts(e, 1350*time.Millisecond)
+	if len(next) != 1 || next[0].Target.ID == first[0].Target.ID {
+		t.Errorf("starts are %v, want one on the other target with its ticket", next)
+	}
+}
--- a/pkg/orchestrator/attempt.go
+++ b/pkg/orchestrator/attempt.go
@@ -299,7 +299,7 @@
 		t.closedUntil = now + failureCooldown
 	}
 	if answer.Outcome == OutcomeBadTicket {
-		a.task.step.advice.discard()
+		a.task.step.advice.discard(t.ID)
 	}
 	e.endAttempt(a, EndStopped, "", now)
 }
