orchestrator: tickets of the adviser are kept until a task can start

Callers would see jobs of a queue that needs advice never start, although the adviser approves targets for each of them, if the answer does not state how long tickets are valid (only the queue does), if the request waited at the adviser for longer than that, or if they are valid for less time than a request takes.

Cause: the validity was taken from the answer only, and counted from the moment at which the request was sent, so that such tickets had expired when they arrived; the step asked again.

Change: the validity of the queue stands in for that of the answer. It is counted from the stated time of the request before the answer, the earliest moment at which the adviser can have issued them; tickets that would have expired even so are counted from their arrival. A target that refuses one has the adviser asked again, as before.

Test: TestTicketsAreKeptUntilATaskCanStart fails before in four of five rows.

--- a/pkg/orchestrator/advice.go
+++ b/pkg/orchestrator/advice.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"cmp"
 	"maps"
 	"sort"
 	"time"
@@ -72,7 +73,7 @@
 type AdviceAnswer struct {
 	Request    AdviceRequest
 	Tickets    map[string]string // by approved target
-	Validity   time.Duration     // of the tickets
+	Validity   time.Duration     // of the tickets; zero if the answer does not state it
 	SentAt     time.Duration
 	ReceivedAt time.Duration
 	Err        error // why there is no answer
@@ -233,11 +234,28 @@
 		return
 	}
 	a.failures = 0
-	a.record(q.Targets, answer.Tickets, answer.SentAt+answer.Validity)
+	a.record(q.Targets, answer.Tickets, answer.expiry(e.queueOf(j).AdviceValidity))
 	e.cfg.Logger.Info("adviser answered", "job", q.Job, "step", q.Step, "asked", len(q.Targets), "approved", len(answer.Tickets), "refused_so_far", len(a.refused),
 		"took_ms", took.Milliseconds(), "stated_ms", q.Duration.Milliseconds())
 }
 
+// expiry returns when the tickets expire. validity is that of the queue, for an answer without one.
+// The adviser issues them at the earliest when it begins with the request, which may have waited
+// there before. Tickets that would have expired since then are counted from their arrival: the
+// targets decide.
+func (a *AdviceAnswer) expiry(validity time.Duration) time.Duration {
+	validity = cmp.Or(a.Validity, validity, unstatedAdviceValidity)
+	issuedAt := max(a.SentAt, a.ReceivedAt-a.Request.Duration)
+	if issuedAt+validity <= a.ReceivedAt {
+		issuedAt = a.ReceivedAt
+	}
+	return issuedAt + validity
+}
+
+// unstatedAdviceValidity is how long tickets are used if neither the answer nor the queue states how
+// long they are valid. A target that refuses one before has the adviser asked again.
+const unstatedAdviceValidity = time.Minute
+
 // closeUnapproved marks the targets as closed for which a step of a queue that requires advice
 // has no ticket.
 func (e *Engine) closeUnapproved(s *stepState, views []packer.Target) []packer.Target {
--- a/pkg/orchestrator/advice_test.go
+++ b/pkg/orchestrator/advice_test.go
@@ -244,6 +244,70 @@
 	w.verify()
 }
 
+// Guards against tickets that are thrown away before a task can start with them, so that the adviser
+// is asked again without end.
+func TestTicketsAreKeptUntilATaskCanStart(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer time.Duration // validity that the answer states
+		queue  time.Duration // validity that the queue states
+		took   time.Duration
+	}{
+		{
+			name:   "stated by the answer",
+			answer: time.Second,
+			took:   140 * time.Millisecond,
+		},
+		{
+			name:  "stated by the queue only",
+			queue: time.Second,
+			took:  140 * time.Millisecond,
+		},
+		{
+			name: "not stated",
+			took: 140 * time.Millisecond,
+		},
+		{
+			name:   "the request waited at the adviser for longer",
+			answer: time.Second,
+			took:   3 * time.Second,
+		},
+		{
+			name:   "shorter than a request takes",
+			answer: 50 * time.Millisecond,
+			took:   140 * time.Millisecond,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorldWithAdvice(t, 4)
+			queue := w.conf.Queues["quotes"]
+			queue.AdviceValidity = tt.queue
+			w.conf.Queues["quotes"] = queue
+			w.engine.Configure(w.conf)
+			w.submit(testJob("j1", "schools", 300, 1))
+			w.run(50 * time.Millisecond)
+			requests := w.engine.AdviceRequests()
+			if len(requests) != 1 {
+				t.Fatalf("%d requests, want 1", len(requests))
+			}
+			sentAt := w.now
+			w.run(tt.took)
+			w.engine.HandleAdvice(orchestrator.AdviceAnswer{
+				Request:    requests[0],
+				Tickets:    map[string]string{"t0": "x"},
+				Validity:   tt.answer,
+				SentAt:     sentAt,
+				ReceivedAt: w.now,
+			})
+			if !w.runUntil(time.Second, func() bool { return w.state("j1") == jobkeeper.StateComplete }) {
+				t.Errorf("the job is %s although its target was approved", w.state("j1"))
+			}
+			w.verify()
+		})
+	}
+}
+
 // Guards against a target that refuses its ticket, because it has started again, and takes those for
 // all other targets with it.
 func TestTicketThatOneTargetRefusesLeavesTheOthers(t *testing.T) {
