orchestrator: a start that may reach the next life of its target is withdrawn

Cause: the list of VMs ends the run of the unanswered start with the crash, and the task starts elsewhere. Nothing tells the next life of the target that the start is void; fence and run number are still good there.

Change: the engine keeps starts without an answer whose runs were given up with their target, for 15 s. When a target with that ID is listed, it is ordered to stop these runs, again until it answers. A target that has stopped a run refuses its start. A run that the list shows is adopted or stopped like any other.

Why it works: the stop of a run that is not there makes the target refuse a later start of it. A start that arrives between the restart and the first list of the new life can still run twice; waiting for it would keep the tasks of each crashed target waiting.

--- a/pkg/orchestrator/attempt.go
+++ b/pkg/orchestrator/attempt.go
@@ -310,6 +310,9 @@
 		return
 	}
 	t.setClockFrom(answer)
+	if answer.Outcome == OutcomeOK && answer.Order.incarnation == t.incarnation {
+		e.dropStray(t.ID, answer.Order.run())
+	}
 	a := t.attempts[answer.Order.run()]
 	if a != nil && answer.Outcome == OutcomeOK && a.stoppedAt == 0 {
 		a.phase = phaseStopping // the stop may have been withdrawn
--- a/pkg/orchestrator/earlier_life_test.go
+++ b/pkg/orchestrator/earlier_life_test.go
@@ -140,3 +140,52 @@
 	w.run(6 * time.Second)
 	w.verify()
 }
+
+// Guards against a withdrawal of a start that is sent once only, although the target does not answer
+// it, and against one that ends a run which the target lists.
+func TestStartThatMayBeCarriedOutLateIsWithdrawnUntilThatIsAnswered(t *testing.T) {
+	const ms = time.Millisecond
+	for _, listed := range []bool{false, true} {
+		e, start, present := newEngineWithRestartedTarget(t)
+		e.HandleAnswer(answerTo(start, orchestrator.OutcomeUnknown, 1110*ms), 1110*ms)
+		e.SetVMs([]orchestrator.VM{{
+			ID:    present.VM,
+			Pool:  present.Pool,
+			State: orchestrator.VMDown,
+		}}, 1150*ms, 1160*ms)
+		if lost := e.Stats().Lost; lost != 1 {
+			t.Fatalf("%d runs lost, want the one that was not answered", lost)
+		}
+		e.Orders()
+		var running []orchestrator.Run
+		if listed {
+			running = append(running, orchestrator.Run{
+				Task: start.Task,
+				Run:  start.Run,
+			})
+		}
+		e.Register(present, 1200*ms)
+		var stops []orchestrator.Order
+		for now := 1300 * ms; now < 4000*ms; now += 100 * ms {
+			if _, requested := nextList(e, present.ID, now); requested {
+				e.HandleListing(listingOf(present, now, running...), 0)
+			}
+			for _, o := range e.Orders() {
+				if o.Kind != orchestrator.KindStop {
+					continue
+				}
+				stops = append(stops, o)
+				if len(stops) == 2 {
+					e.HandleAnswer(answerTo(o, orchestrator.OutcomeOK, now), now)
+				}
+			}
+		}
+		want := 2 // the first one is not answered
+		if listed {
+			want = 0 // the run is adopted
+		}
+		if len(stops) != want {
+			t.Errorf("listed %v: %d stops, want %d", listed, len(stops), want)
+		}
+	}
+}
--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -22,6 +22,7 @@
 	if lapse, lapsed := e.lapses[t.ID]; lapsed && l.SentAt > lapse.at {
 		e.settleLapse(t.ID, lapse.incarnation == 0 || t.incarnation != lapse.incarnation)
 	}
+	e.stopStrays(t, &l)
 	t.setClock(l.ClockMS, now)
 	if t.failedAt != 0 {
 		e.cfg.Logger.Info("target lists its runs again", "target", t.ID, "pool", t.Pool, "running", len(l.Running))
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -159,6 +159,7 @@
 	unansweredStarts int
 	suspects         []*task // tasks with crashes that are weighed
 	lapses           map[string]lapse
+	strayStarts      map[string][]strayStart // by target
 	byVM             map[string]*target
 	regroupDue       bool // pool.targets is out of date
 	waitLoggedAt     time.Duration
@@ -200,6 +201,7 @@
 		dirty:       map[string]bool{},
 		given:       map[string]givenJob{},
 		lapses:      map[string]lapse{},
+		strayStarts: map[string][]strayStart{},
 		fleet:       newFleet(),
 		byVM:        map[string]*target{},
 		takingOver:  !cfg.FirstOwner,
@@ -233,6 +235,7 @@
 	e.regroup()
 	e.indexVMs()
 	e.expireTargets(now)
+	e.expireStrays(now)
 	e.failCrashLooping(now, wallMS)
 	e.completeTakeover(now)
 	e.openOccurrences(now, wallMS)
--- a/pkg/orchestrator/restart.go
+++ b/pkg/orchestrator/restart.go
@@ -202,3 +202,61 @@
 	}
 	return lost
 }
+
+// strayStart is a start without an answer whose run was given up with its target. The next life of
+// the target may still carry it out.
+type strayStart struct {
+	runKey
+	until  time.Duration // it is not carried out any more after this time
+	sentAt time.Duration // when its stop was last sent; zero if it was not
+}
+
+// strayStartTime is longer than an order that was not answered can take to be carried out.
+const strayStartTime = 15 * time.Second
+
+// recordStray records that the start of a run that is given up may still be carried out.
+func (e *Engine) recordStray(a *attempt, now time.Duration) {
+	if a.confirmedAt > 0 {
+		return
+	}
+	e.strayStarts[a.target.ID] = append(e.strayStarts[a.target.ID], strayStart{
+		runKey: a.key(),
+		until:  now + strayStartTime,
+	})
+}
+
+// stopStrays orders the target to stop runs whose starts it may carry out late, so that it refuses
+// these starts. Runs that it lists are adopted or stopped like others.
+func (e *Engine) stopStrays(t *target, l *Listing) {
+	strays := slices.DeleteFunc(e.strayStarts[t.ID], func(s strayStart) bool {
+		return slices.ContainsFunc(l.Running, func(r Run) bool { return r.key() == s.runKey })
+	})
+	for i := range strays {
+		if s := &strays[i]; s.sentAt == 0 || l.ReceivedAt-s.sentAt > e.cfg.StopTime+stopMargin {
+			e.cfg.Logger.Info("start without an answer withdrawn", "task", s.task.String(), "run", s.run, "target", t.ID)
+			s.sentAt = l.ReceivedAt
+			e.orderStop(t, s.runKey)
+		}
+	}
+	e.setStrays(t.ID, strays)
+}
+
+// dropStray forgets a stray start whose stop was answered.
+func (e *Engine) dropStray(target string, key runKey) {
+	e.setStrays(target, slices.DeleteFunc(e.strayStarts[target], func(s strayStart) bool { return s.runKey == key }))
+}
+
+func (e *Engine) setStrays(target string, strays []strayStart) {
+	if len(strays) == 0 {
+		delete(e.strayStarts, target)
+		return
+	}
+	e.strayStarts[target] = strays
+}
+
+// expireStrays forgets the stray starts whose time is over.
+func (e *Engine) expireStrays(now time.Duration) {
+	for id, strays := range e.strayStarts {
+		e.setStrays(id, slices.DeleteFunc(strays, func(s strayStart) bool { return now > s.until }))
+	}
+}
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -173,6 +173,7 @@
 		e.cfg.Observer.TaskEnd(t.Pool, "lost")
 		e.cfg.Logger.Info("run lost", "task", a.task.id(), "run", a.run, "target", t.ID, "reason", reason,
 			"confirmed", a.confirmedAt > 0, "age_ms", (now - a.orderedAt).Milliseconds(), "seen_for_ms", a.seenFor().Milliseconds(), "beside", len(runs)-1)
+		e.recordStray(a, now)
 		e.endAttempt(a, EndLapsed, "", now)
 	}
 }
@@ -310,7 +311,7 @@
 	request := ListRequest{
 		Target: t.Endpoint,
 		Fence:  e.cfg.Fence,
-		Skip:   t.terminated || t.listed && t.unexpectedRuns == 0 && len(t.attempts) == 0 && t.acknowledged >= t.recordable() && (t.failedAt == 0 || !t.registered),
+		Skip:   t.terminated || t.listed && t.unexpectedRuns == 0 && len(e.strayStarts[id]) == 0 && len(t.attempts) == 0 && t.acknowledged >= t.recordable() && (t.failedAt == 0 || !t.registered),
 	}
 	if t.recorded > t.acknowledged && t.failedAt == 0 {
 		request.Acknowledged = t.recorded
