orchestrator: no starts by the description of an earlier life

Cause: a list may show the new life before its registration arrives, or a new owner may read a registration that the store carried out late. The target was used at once, by the labels and the capacity of the earlier life.

Change: a target gets starts only while its registration and its lists are of the same life. Targets register every one to two seconds, which bounds the wait.

Test: TestTargetGetsNoStartsByTheDescriptionOfAnEarlierLife fails before, with the same owner and with a new one.

--- a/pkg/orchestrator/late_registration_test.go
+++ b/pkg/orchestrator/late_registration_test.go
@@ -262,3 +262,35 @@
 		}
 	}
 }
+
+// Guards against tasks that start on a target without the label that they need, because it has
+// started again as another kind and only its lists have shown that.
+func TestTargetGetsNoStartsByTheDescriptionOfAnEarlierLife(t *testing.T) {
+	const ms = time.Millisecond
+	for _, takeOver := range []bool{false, true} {
+		e, before := newEngineWithTarget()
+		before.StartedUnixMS, before.Labels = 1, []string{"a", "r1"}
+		e.Register(before, time.Second)
+		if !takeOver { // otherwise the registration that the new owner reads is out of date
+			e.HandleListing(listingOf(before, time.Second), 0)
+		}
+		recordChanges(e, time.Second)
+		present := before
+		present.StartedUnixMS, present.Labels = 2, []string{"b", "r1"}
+		e.HandleListing(listingOf(present, 1100*ms), 0)
+		recordChanges(e, 1100*ms)
+		for i, label := range []string{"a", "b"} {
+			j := testJob("needs-"+label, "schools", 300, 1)
+			j.Steps[0].Label = label
+			e.AddJob(j, 8, nil, 8, 1200*ms, int64(i))
+		}
+		if n := len(starts(e, 1200*ms)); n != 0 {
+			t.Errorf("take over %v: %d starts before the present life has registered, want none", takeOver, n)
+		}
+		e.Register(present, 1300*ms)
+		orders := starts(e, 1400*ms)
+		if len(orders) != 1 || orders[0].Task.Job != "needs-b" {
+			t.Errorf("take over %v: starts are %v, want one of the job that needs label b", takeOver, orders)
+		}
+	}
+}
--- a/pkg/orchestrator/restart.go
+++ b/pkg/orchestrator/restart.go
@@ -64,6 +64,12 @@
 	return false
 }
 
+// describesPresentLife reports whether the registration in effect is that of the present life. An
+// earlier one may have had other labels and another capacity.
+func (t *target) describesPresentLife() bool {
+	return t.StartedUnixMS == 0 || t.StartedUnixMS == t.incarnation
+}
+
 // withdrawOtherLives keeps the registrations of other lives from taking effect.
 func (t *target) withdrawOtherLives() {
 	for i := range t.otherLives {
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -241,7 +241,7 @@
 		return false
 	case !t.listed, t.unexpectedRuns > 0, t.failedAt != 0, now < t.closedUntil, len(t.otherLives) > 0:
 		return false
-	case !e.roster.recorded(t.ID):
+	case !e.roster.recorded(t.ID), !t.describesPresentLife():
 		return false
 	case t.onTrial(now), len(t.attempts) > 0 && !t.contactable(now):
 		return false
