orchestrator: crashes on one VM do not tell the task from the VM

Cause: crashes in an otherwise calm pool are held against the task that ran there, also if all of them happened on the same VM. A trial looks for an idle target, which in a full pool is the one that has just come back.

The same in virtual time: "task j1.0.0.0 crashed 3 targets" in four of twelve rows of the new test.

Change: a crash keeps its VM, also in the record of the job. Crashes that were all on one VM give no job up before the fifth, which is the bound in any pool. A suspected task starts on another VM than those of its crashes if one has room; if not, it returns there 3 s after the second crash and 6 s after further ones.

Why it works: a crash on a second VM is evidence against the task, a run that lives there is evidence against the first VM, and the waits keep a VM that goes down and up for seconds below five crashes.

Tests: TestSoundJobOutlivesATargetThatGoesDownAndUp failed before; TestTaskThatCrashesTheOnlyFreeTargetIsGivenUp passed before and after.

--- a/pkg/jobkeeper/progress.go
+++ b/pkg/jobkeeper/progress.go
@@ -93,6 +93,8 @@
 	// calm otherwise.
 	HeldCrashes  int `cbor:"8,keyasint,omitempty"`
 	HeldUnproven int `cbor:"11,keyasint,omitempty"`
+	// CrashedVMs are the VMs of the crashed targets.
+	CrashedVMs []string `cbor:"13,keyasint,omitempty"`
 	// SinceOtherCrashMS is the time in ms from the last crash of another cause in the pool to the
 	// last one of these; zero if the pool was calm.
 	SinceOtherCrashMS int64 `cbor:"12,keyasint,omitempty"`
--- a/pkg/orchestrator/crash.go
+++ b/pkg/orchestrator/crash.go
@@ -50,6 +50,7 @@
 // crash is a crash of a target, with the runs that may have caused it.
 type crash struct {
 	pool      *pool
+	vm        string        // of the target
 	at        time.Duration // when the target failed or, if no call failed, noticedAt
 	noticedAt time.Duration
 	causes    []crashCause
@@ -113,6 +114,7 @@
 type earlierCrashes struct {
 	count    int
 	held     heldCrashes
+	vms      []string      // of the targets
 	loadedAt time.Duration // when the record of the job was loaded
 	otherAt  time.Duration // when the pool had a crash of another cause; zero if it is not known
 }
@@ -151,6 +153,22 @@
 	return len(r.runs) + r.unproven
 }
 
+// vms returns the VMs on which targets crashed under the task.
+func (r *crashRecord) vms() []string {
+	vms := slices.Clone(r.earlier.vms)
+	for _, c := range r.crashes {
+		if !slices.Contains(vms, c.vm) {
+			vms = append(vms, c.vm)
+		}
+	}
+	return vms
+}
+
+// onOneVM reports whether all of several crashes happened on the same VM, which may be their cause.
+func (r *crashRecord) onOneVM() bool {
+	return r.count() > 1 && len(r.vms()) == 1
+}
+
 // loadCrashes returns what an earlier owner has stored of the crashes under a task.
 func loadCrashes(r jobkeeper.TaskRecord, now time.Duration) crashRecord {
 	held := heldCrashes{
@@ -166,6 +184,7 @@
 		earlier: earlierCrashes{
 			count:    crashes,
 			held:     held,
+			vms:      r.CrashedVMs,
 			loadedAt: now,
 		},
 		onlyCause:  r.OnlyCause,
@@ -244,6 +263,7 @@
 	p := e.pool(on.Pool)
 	c := &crash{
 		pool:      p,
+		vm:        cmp.Or(on.VM, on.ID),
 		at:        cmp.Or(on.failedAt, now),
 		noticedAt: now,
 	}
--- a/pkg/orchestrator/progress.go
+++ b/pkg/orchestrator/progress.go
@@ -135,6 +135,7 @@
 						UnprovenCrashes:   t.crashed.unproven,
 						HeldCrashes:       t.crashed.held.proven,
 						HeldUnproven:      t.crashed.held.unproven,
+						CrashedVMs:        t.crashed.vms(),
 						SinceOtherCrashMS: t.crashed.otherAge.Milliseconds(),
 						OnlyCause:         t.crashed.onlyCause && !t.crashed.unsettled(),
 						Promptness:        t.crashed.promptness,
--- a/pkg/orchestrator/trial.go
+++ b/pkg/orchestrator/trial.go
@@ -102,33 +102,62 @@
 }
 
 // startTrial starts a task, or a gang, on trial: on idle targets or, if there are none for it, on
-// such with long-lived runs only. It returns false if there are none either.
+// such with long-lived runs only. It returns false if there are none either. A task starts on a VM on
+// which a target has crashed under it only if there is no other one, since that VM may be the cause.
 func (e *Engine) startTrial(p *pool, c trialCandidate, views []packer.Target, now time.Duration) bool {
 	s := c.group.step
-	for _, idle := range []bool{true, false} {
-		own := e.trialViews(p, s, views, idle)
-		if s.step.Gang {
-			if _, all := e.placeGang(s, append([]packer.Target(nil), own...), now); !all {
-				continue
+	if s.step.Gang {
+		return e.startGangTrial(p, c, views, now)
+	}
+	t := c.tasks[0]
+	for _, crashed := range []bool{false, true} {
+		if crashed && !t.crashed.mayReturn(now) {
+			return false
+		}
+		for _, idle := range []bool{true, false} {
+			own := e.trialViews(p, s, views, idle)
+			if !crashed {
+				closeVMs(own, p, t.crashed.vms())
 			}
-			started := e.startGang(p, c.group, own, now)
-			for i, t := range p.targets {
-				views[i].Closed = views[i].Closed || t.onTrial(now)
+			i := e.choose(s, t, s.rack(), own, now)
+			if i < 0 {
+				continue
 			}
-			return started
+			e.launch(t, p.targets[i], e.nextRun(s.job), now)
+			place(&views[i], s.step)
+			views[i].Closed = true
+			return true
 		}
-		i := e.choose(s, c.tasks[0], s.rack(), own, now)
-		if i < 0 {
+	}
+	return false
+}
+
+// startGangTrial starts the tasks of a gang on trial.
+func (e *Engine) startGangTrial(p *pool, c trialCandidate, views []packer.Target, now time.Duration) bool {
+	s := c.group.step
+	for _, idle := range []bool{true, false} {
+		own := e.trialViews(p, s, views, idle)
+		if _, all := e.placeGang(s, append([]packer.Target(nil), own...), now); !all {
 			continue
 		}
-		e.launch(c.tasks[0], p.targets[i], e.nextRun(s.job), now)
-		place(&views[i], s.step)
-		views[i].Closed = true
-		return true
+		started := e.startGang(p, c.group, own, now)
+		for i, t := range p.targets {
+			views[i].Closed = views[i].Closed || t.onTrial(now)
+		}
+		return started
 	}
 	return false
 }
 
+// closeVMs closes the views of the targets on the given VMs.
+func closeVMs(views []packer.Target, p *pool, vms []string) {
+	for i, t := range p.targets {
+		if slices.Contains(vms, cmp.Or(t.VM, t.ID)) {
+			views[i].Closed = true
+		}
+	}
+}
+
 // afterTrials returns the views for the step with the targets open that are only closed by trials.
 func (e *Engine) afterTrials(p *pool, s *stepState, views []packer.Target) []packer.Target {
 	own := append([]packer.Target(nil), views...)
--- a/pkg/orchestrator/verdict.go
+++ b/pkg/orchestrator/verdict.go
@@ -155,7 +155,7 @@
 func (e *Engine) convictable(t *task, now time.Duration) bool {
 	r := &t.crashed
 	settled := now-r.lastAt >= crashSettleTime || r.promptness > 0 && len(r.crashes) > 0
-	if !r.onlyCause || !settled {
+	if !r.onlyCause || !settled || r.onOneVM() && r.count() < maxCertainCrashes {
 		return false
 	}
 	limit := crashLimit
@@ -171,6 +171,23 @@
 	return r.held.proven >= limit || r.held.proven+r.held.unproven >= unprovenCrashLimit && !r.unsettled()
 }
 
+const (
+	// returnDelay is how long a task does not start again on a VM on which two targets have crashed
+	// under it, and on no other one. After further crashes there it is maxReturnDelay.
+	returnDelay    = 3 * time.Second
+	maxReturnDelay = 6 * time.Second
+)
+
+// mayReturn reports whether a suspected task may start again on a VM on which a target has crashed
+// under it.
+func (r *crashRecord) mayReturn(now time.Duration) bool {
+	delay := returnDelay
+	if r.count() > 2 {
+		delay = maxReturnDelay
+	}
+	return !r.onOneVM() || now-r.lastAt >= delay
+}
+
 // mayStartAfterCrashes reports whether a suspected task may start again.
 func (e *Engine) mayStartAfterCrashes(t *task, now time.Duration) bool {
 	r := &t.crashed
