orchestrator: no target is kept for a task that may not return to its VM

Callers would see other jobs wait for some seconds beside the only worker with room, because it is kept for the trial of a task that does not start there yet: all crashes under that task were on its VM.

Cause: targets are reserved for waiting trials without regard for the VMs that the task of a trial avoids.

Change: a target on the VM of all crashes under a task is not suited to its trial, as far as reservations go; and the second search of startTrial is left out for tasks without a known VM. The list turn of a target has a name of its own, since Endpoint stands beside it.

Test: TestTargetIsNotKeptForATaskThatDoesNotReturnThereYet fails before.

--- a/pkg/orchestrator/flapping_test.go
+++ b/pkg/orchestrator/flapping_test.go
@@ -72,3 +72,25 @@
 		w.verify()
 	}
 }
+
+// Guards against a target that is kept for a suspected task which does not start there yet, so that
+// nothing else starts on the only target with room.
+func TestTargetIsNotKeptForATaskThatDoesNotReturnThereYet(t *testing.T) {
+	w, free := newWorldWithOneFreeTarget(t)
+	for range 2 {
+		w.crashFor(free, 300*time.Millisecond)
+		w.runUntil(3*time.Second, func() bool { return w.runningOn("j1.0.0.0") != "" || w.crashesUnder["j1.0.0.0"] > 1 })
+	}
+	w.run(1500 * time.Millisecond)
+	if w.runningOn("j1.0.0.0") != "" {
+		t.Fatal("the task has returned to the VM of its crashes at once")
+	}
+	w.submit(testJob("j2", "schools", 300, 1))
+	if !w.runUntil(time.Second, func() bool { return w.state("j2") == jobkeeper.StateComplete }) {
+		t.Errorf("the other job is %s", w.state("j2"))
+	}
+	if !w.runUntil(20*time.Second, func() bool { return w.state("j1").Ended() }) || w.state("j1") != jobkeeper.StateComplete {
+		t.Errorf("the suspected job is %s", w.state("j1"))
+	}
+	w.verify()
+}
--- a/pkg/orchestrator/restart.go
+++ b/pkg/orchestrator/restart.go
@@ -59,7 +59,7 @@
 		observedAt:   now,
 	})
 	if t.failedAt != 0 {
-		t.endpoint = len(t.otherLives)
+		t.listTurn = len(t.otherLives)
 	}
 	return false
 }
@@ -80,8 +80,8 @@
 // endpointToList returns where the next list is requested: by turns where each of the lives has
 // registered that may be the present one.
 func (t *target) endpointToList() Endpoint {
-	if t.endpoint > 0 && t.endpoint <= len(t.otherLives) {
-		return t.otherLives[t.endpoint-1].registration.Endpoint
+	if t.listTurn > 0 && t.listTurn <= len(t.otherLives) {
+		return t.otherLives[t.listTurn-1].registration.Endpoint
 	}
 	return t.Endpoint
 }
@@ -163,7 +163,7 @@
 		}
 		return true
 	})
-	t.endpoint = 0
+	t.listTurn = 0
 	if present != nil {
 		e.Register(*present, l.ReceivedAt)
 	}
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -49,7 +49,7 @@
 	incarnation      int64       // start of its present life in Unix ms; zero if unknown
 	earlier          []int64     // starts of its earlier lives
 	otherLives       []otherLife // registered lives that may be earlier or later than the present one
-	endpoint         int         // where the next list is requested, see endpointToList
+	listTurn         int         // whose turn the next list is, see endpointToList
 	attempts         map[runKey]*attempt
 	unexpectedStops  map[runKey]time.Duration // when the stops of unexpected runs were last sent
 	unexpectedRuns   int                      // listed runs that are being stopped because the engine does not track them
@@ -365,7 +365,7 @@
 		return
 	}
 	if n := len(t.otherLives); n > 0 {
-		t.endpoint = (t.endpoint + 1) % (n + 1)
+		t.listTurn = (t.listTurn + 1) % (n + 1)
 	}
 	if t.failedAt != 0 {
 		return
--- a/pkg/orchestrator/trial.go
+++ b/pkg/orchestrator/trial.go
@@ -110,14 +110,15 @@
 		return e.startGangTrial(p, c, views, now)
 	}
 	t := c.tasks[0]
+	vms := t.crashed.vms()
 	for _, crashed := range []bool{false, true} {
-		if crashed && !t.crashed.mayReturn(now) {
+		if crashed && (len(vms) == 0 || !t.crashed.mayReturn(now)) {
 			return false
 		}
 		for _, idle := range []bool{true, false} {
 			own := e.trialViews(p, s, views, idle)
 			if !crashed {
-				closeVMs(own, p, t.crashed.vms())
+				closeVMs(own, p, vms)
 			}
 			i := e.choose(s, t, s.rack(), own, now)
 			if i < 0 {
@@ -259,11 +260,17 @@
 	seen := map[*stepState]bool{} // all tasks of a step need the same
 	for _, c := range waiting {
 		s := c.group.step
-		if seen[s] {
+		own := empty
+		switch crashed := &c.tasks[0].crashed; {
+		case !s.step.Gang && crashed.onOneVM(): // it may not start there at once
+			own = slices.Clone(empty)
+			closeVMs(own, p, crashed.vms())
+		case seen[s]:
 			continue
+		default:
+			seen[s] = true
 		}
-		seen[s] = true
-		for i, v := range e.viewFor(empty, s) {
+		for i, v := range e.viewFor(own, s) {
 			suited[i] = suited[i] || packer.Eligible(packer.Request{
 				Step: s.step,
 			}, &v)
