manager: a panic in the client of the adviser ends one request only

Callers would see all jobs that need advice wait until the daemon restarts, if an answer of the adviser made the client panic: the panic ended the ownership, and the request counted as under way ever after, at most two of which are.

Cause: adviserQueue counts a request down after the call only, which a panic passes by. The other calls of an owner have a guard.

Change: the same guard around the call, so that a panic is an error of that request.

Test: the row "the first answers can't be taken" of TestJobsThatWaitForASlowAdviserStart, no job complete before.

--- a/internal/manager/adviser_queue.go
+++ b/internal/manager/adviser_queue.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/comfreyford/comfreyford/internal/sleeper"
 	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 )
@@ -20,6 +22,7 @@
 type adviserQueue struct {
 	adviser Adviser
 	clock   func() time.Duration
+	logger  hclog.Logger
 
 	mu       sync.Mutex
 	load     adviserLoad
@@ -27,10 +30,11 @@
 	ended    chan struct{} // closed and replaced when a request has ended
 }
 
-func newAdviserQueue(adviser Adviser, clock func() time.Duration) *adviserQueue {
+func newAdviserQueue(cfg Config) *adviserQueue {
 	return &adviserQueue{
-		adviser: adviser,
-		clock:   clock,
+		adviser: cfg.Adviser,
+		clock:   cfg.Clock,
+		logger:  cfg.Logger,
 		ended:   make(chan struct{}),
 	}
 }
@@ -59,7 +63,10 @@
 	}
 	call, cancel := context.WithTimeout(ctx, sent.limit)
 	defer cancel()
-	answer.Tickets, answer.Validity, answer.Err = q.adviser.Ask(call, r)
+	answer.Err = guard(q.logger, "advice for job", r.Job, func() (err error) {
+		answer.Tickets, answer.Validity, err = q.adviser.Ask(call, r)
+		return err
+	})
 	answer.ReceivedAt = q.clock()
 	q.end(func(l *adviserLoad) {
 		switch {
--- a/internal/manager/adviser_queue_test.go
+++ b/internal/manager/adviser_queue_test.go
@@ -19,6 +19,7 @@
 	takes    time.Duration // for each request
 	validity time.Duration // of the tickets
 	lost     int           // number of first requests that are handled but not answered
+	panics   int           // number of first requests whose answers the client can't take
 	turn     chan struct{} // holds a value while no request is handled
 
 	mu       sync.Mutex
@@ -67,8 +68,11 @@
 		return nil, 0, manager.ErrAdviserBusy
 	}
 	a.received++
-	lost := a.received <= a.lost
+	lost, panics := a.received <= a.lost, a.received <= a.panics
 	a.mu.Unlock()
+	if panics {
+		panic("answer of the adviser")
+	}
 	handled := a.handle()
 	if lost {
 		handled = nil
@@ -125,6 +129,7 @@
 		jobs   int
 		before int // requests of an earlier daemon that the adviser has to handle first
 		lost   int
+		panics int
 		within time.Duration
 		// wasted is the largest number of requests that may be given up.
 		wasted int
@@ -187,12 +192,21 @@
 			within: 5 * time.Second,
 			wasted: 1,
 		},
+		{
+			name:   "the first answers can't be taken",
+			takes:  100 * ms,
+			stated: 100 * ms,
+			jobs:   3,
+			panics: 3,
+			within: 5 * time.Second,
+			wasted: 3,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				a := newSerialAdviser(tt.takes)
-				a.lost = tt.lost
+				a.lost, a.panics = tt.lost, tt.panics
 				for range tt.before {
 					a.handle()
 				}
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -188,7 +188,7 @@
 		settings: newSettings(cfg),
 		view:     newFleetView(cfg),
 		owners:   elector.NewOwners(),
-		advice:   newAdviserQueue(cfg.Adviser, cfg.Clock),
+		advice:   newAdviserQueue(cfg),
 		owned:    map[string]*owner{},
 	}
 	m.operatorWatch = newPrefixWatcher(watcherConfig{
