orchestrator: a late registration of the same life is ignored

Cause: the owner took each registration of the present life for its newest one. The store may carry out a write seconds late.

Change: a registration whose Sequence is below that of the one in effect, of the same life, is ignored. A later life counts anew, and entries without a Sequence are taken as before.

Tests: TestLateRegistrationOfTheSameLifeIsIgnored, the row "older" fails before; TestSequenceOfTheNextLifeStartsAnew guards the other side.

--- a/pkg/orchestrator/late_registration_test.go
+++ b/pkg/orchestrator/late_registration_test.go
@@ -294,3 +294,65 @@
 		}
 	}
 }
+
+// Guards against starts on a target that drains, because the store carries out a registration from
+// before that late.
+func TestLateRegistrationOfTheSameLifeIsIgnored(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name     string
+		sequence int64
+		starts   int
+	}{
+		{
+			name:     "older",
+			sequence: 6,
+		},
+		{
+			name:     "newer",
+			sequence: 8,
+			starts:   1,
+		},
+		{
+			name:   "no sequence",
+			starts: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e, r := newEngineWithTarget()
+			r.StartedUnixMS, r.Sequence = 2, 6
+			e.Register(r, time.Second)
+			e.HandleListing(listingOf(r, time.Second), 0)
+			recordChanges(e, time.Second)
+			drains := r
+			drains.Sequence, drains.Draining = 7, true
+			e.Register(drains, 1100*ms)
+			late := r
+			late.Sequence = tt.sequence
+			e.Register(late, 1200*ms)
+			e.AddJob(testJob("j1", "schools", 300, 1), 8, nil, 8, 1200*ms, 0)
+			if n := len(starts(e, 1300*ms)); n != tt.starts {
+				t.Errorf("%d starts, want %d", n, tt.starts)
+			}
+		})
+	}
+}
+
+// Guards against a target that is ignored after a restart, because its counts start anew.
+func TestSequenceOfTheNextLifeStartsAnew(t *testing.T) {
+	const ms = time.Millisecond
+	e, r := newEngineWithTarget()
+	r.StartedUnixMS, r.Sequence = 2, 60
+	e.Register(r, time.Second)
+	e.HandleListing(listingOf(r, time.Second), 0)
+	next := r
+	next.StartedUnixMS, next.Sequence = 1, 1
+	e.Register(next, 1100*ms)
+	e.HandleListing(listingOf(next, 1200*ms), 0)
+	recordChanges(e, 1200*ms)
+	e.AddJob(testJob("j1", "schools", 300, 1), 8, nil, 8, 1200*ms, 0)
+	if n := len(starts(e, 1300*ms)); n != 1 {
+		t.Errorf("%d starts, want 1", n)
+	}
+}
--- a/pkg/orchestrator/order.go
+++ b/pkg/orchestrator/order.go
@@ -161,5 +161,6 @@
 	Capacity      jobkeeper.Resources
 	Draining      bool
 	StartedUnixMS int64  // Unix ms at which the target's process started; zero if not stated
+	Sequence      int64  // rises with each registration of a life; zero if not stated
 	VM            string // empty if the target does not state it
 }
--- a/pkg/orchestrator/restart.go
+++ b/pkg/orchestrator/restart.go
@@ -33,10 +33,14 @@
 	return o.observedAt + startDeliveryLimit + time.Duration(float64(maxLease)*(1+clockDrift))
 }
 
-// observeRegistration reports whether a registration describes the present life of the target. It
-// keeps that of an unknown life until a list shows whether the target has restarted.
+// observeRegistration reports whether a registration describes the present life of the target, and is
+// not older than the one in effect. It keeps that of an unknown life until a list shows whether the
+// target has restarted.
 func (e *Engine) observeRegistration(t *target, r Registration, now time.Duration) bool {
 	switch born := r.StartedUnixMS; {
+	case born != 0 && born == t.StartedUnixMS && r.Sequence > 0 && r.Sequence < t.Sequence:
+		e.cfg.Logger.Info("late registration of a target ignored", "target", t.ID, "sequence", r.Sequence, "present_sequence", t.Sequence)
+		return false
 	case born == 0 || born == t.incarnation:
 		return true
 	case t.incarnation == 0:
