orchestrator: urgent and waiting steps ask the adviser by turns

Callers would see jobs with idle workers wait for advice as long as other steps, for which nothing has room, ask again each time their tickets have expired, or as long as more urgent jobs come than the adviser can handle.

Cause: the two requests at a time went to the first steps in the sequencer's order only.

Change: requests go by turns to the first step in the sequencer's order, of which those that have not asked come first, and to the step that has waited longest for a request.

--- a/pkg/orchestrator/advice.go
+++ b/pkg/orchestrator/advice.go
@@ -3,7 +3,7 @@
 import (
 	"cmp"
 	"maps"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/packer"
@@ -140,39 +140,73 @@
 	pool  *pool
 }
 
-// requestAdvice gives out requests for the steps that want one, in the sequencer's order, as long as
-// fewer than maxUnansweredAdvice are not answered.
+// requestAdvice gives out requests for the steps that want one, as long as fewer than
+// maxUnansweredAdvice are not answered. By turns these are the first step in the sequencer's order,
+// in which steps that have not asked before come first, and the step that has waited longest for a
+// request. So an urgent step does not wait behind a burst, and neither urgent steps nor such that ask
+// again and again, because nothing has room for them, keep the others from asking.
 func (e *Engine) requestAdvice(now time.Duration) {
-	wanted := e.adviceWanted
+	urgent := e.adviceWanted
 	e.adviceWanted = nil
-	sort.SliceStable(wanted, func(i, j int) bool {
-		return sequencer.Compare(wanted[i].group.candidate, wanted[j].group.candidate) < 0
+	if len(urgent) == 0 || e.unansweredAdvice >= maxUnansweredAdvice {
+		return
+	}
+	waiting := slices.Clone(urgent)
+	slices.SortStableFunc(urgent, func(a, b adviceWish) int {
+		switch {
+		case a.hasAsked() == b.hasAsked():
+			return sequencer.Compare(a.group.candidate, b.group.candidate)
+		case a.hasAsked():
+			return 1
+		}
+		return -1
 	})
-	for _, w := range wanted {
-		if e.unansweredAdvice >= maxUnansweredAdvice {
-			return
+	slices.SortStableFunc(waiting, func(a, b adviceWish) int { return cmp.Compare(a.waitsSince(now), b.waitsSince(now)) })
+	for len(urgent)+len(waiting) > 0 && e.unansweredAdvice < maxUnansweredAdvice {
+		order := &urgent
+		if len(urgent) == 0 || len(waiting) > 0 && e.adviceByWait {
+			order = &waiting
 		}
-		s := w.group.step
-		a := &s.advice
-		a.checkedAt = now
-		targets := e.targetsToAdvise(s, w.pool, now)
-		if len(targets) == 0 {
-			continue
+		next := (*order)[0]
+		*order = (*order)[1:]
+		if next.group.step.advice.checkedAt != now && e.askFor(next, now) {
+			e.adviceByWait = !e.adviceByWait
 		}
-		targets = targets[:min(len(targets), maxAdvisedTargets)]
-		a.pending = true
-		a.askedAt = now
-		e.unansweredAdvice++
-		e.adviceRequests = append(e.adviceRequests, AdviceRequest{
-			Job:        s.job.doc.ID,
-			Occurrence: s.occurrence.number,
-			Step:       s.index,
-			Targets:    targets,
-			Duration:   e.queueOf(s.job).adviceDuration(len(targets)),
-		})
 	}
 }
 
+// hasAsked reports whether the step has asked before.
+func (w *adviceWish) hasAsked() bool { return w.group.step.advice.askedAt > 0 }
+
+// waitsSince returns since when the step waits for a request: since it could start, or since it asked
+// last.
+func (w *adviceWish) waitsSince(now time.Duration) time.Duration {
+	return max(w.group.step.readyAt(now), w.group.step.advice.askedAt)
+}
+
+// askFor gives out a request for a step. It returns false if there is no target to ask about.
+func (e *Engine) askFor(w adviceWish, now time.Duration) bool {
+	s := w.group.step
+	a := &s.advice
+	a.checkedAt = now
+	targets := e.targetsToAdvise(s, w.pool, now)
+	if len(targets) == 0 {
+		return false
+	}
+	targets = targets[:min(len(targets), maxAdvisedTargets)]
+	a.pending = true
+	a.askedAt = now
+	e.unansweredAdvice++
+	e.adviceRequests = append(e.adviceRequests, AdviceRequest{
+		Job:        s.job.doc.ID,
+		Occurrence: s.occurrence.number,
+		Step:       s.index,
+		Targets:    targets,
+		Duration:   e.queueOf(s.job).adviceDuration(len(targets)),
+	})
+	return true
+}
+
 // targetsToAdvise returns the open targets to ask the adviser about: those that it approved and
 // whose tickets have expired or, if there are none, those that it was not asked about yet. If it
 // has refused all, it returns these after refusalReviewTime.
--- a/pkg/orchestrator/advice_test.go
+++ b/pkg/orchestrator/advice_test.go
@@ -244,6 +244,129 @@
 	w.verify()
 }
 
+// serialAnswers answers the requests of a world one at a time, each after its duration, and approves
+// the given targets.
+type serialAnswers struct {
+	w        *world
+	approved map[string]bool
+	validity time.Duration
+	waiting  []orchestrator.AdviceRequest
+	sentAt   []time.Duration
+	freeAt   time.Duration // when the first waiting request will have been handled
+}
+
+// answer is called in each step of the world.
+func (s *serialAnswers) answer() {
+	for _, q := range s.w.engine.AdviceRequests() {
+		if len(s.waiting) == 0 {
+			s.freeAt = s.w.now + q.Duration
+		}
+		s.waiting, s.sentAt = append(s.waiting, q), append(s.sentAt, s.w.now)
+	}
+	if len(s.waiting) == 0 || s.w.now < s.freeAt {
+		return
+	}
+	tickets := map[string]string{}
+	for _, id := range s.waiting[0].Targets {
+		if s.approved[id] {
+			tickets[id] = "x"
+		}
+	}
+	s.w.engine.HandleAdvice(orchestrator.AdviceAnswer{
+		Request:    s.waiting[0],
+		Tickets:    tickets,
+		Validity:   s.validity,
+		SentAt:     s.sentAt[0],
+		ReceivedAt: s.w.now,
+	})
+	s.waiting, s.sentAt = s.waiting[1:], s.sentAt[1:]
+	if len(s.waiting) > 0 {
+		s.freeAt = s.w.now + s.waiting[0].Duration
+	}
+}
+
+// Guards against steps without room that ask again each time their tickets have expired, and keep the
+// adviser from steps that could start.
+func TestStepsWithoutRoomDoNotKeepOthersFromAsking(t *testing.T) {
+	w := newWorldWithAdvice(t, 2)
+	queue := w.conf.Queues["quotes"]
+	queue.StretchFactor = 1000 // no job is late
+	w.conf.Queues["quotes"] = queue
+	other := queue
+	other.Name, other.Pool, other.Priority = "other", "other", 5
+	w.conf.Queues["other"] = other
+	w.conf.Pools["other"] = orchestrator.Pool{
+		Name: "other",
+	}
+	w.engine.Configure(w.conf)
+	w.addTarget("o1", "other", cores(8))
+	s := &serialAnswers{
+		w:        w,
+		approved: map[string]bool{"t0": true, "t1": true, "o1": true},
+		validity: 300 * time.Millisecond,
+	}
+	w.submit(testJob("filler", "schools", 30_000, 8))
+	w.runUntil(3*time.Second, func() bool {
+		s.answer()
+		return false
+	})
+	for i := range 12 {
+		w.submit(testJob(fmt.Sprintf("waits%d", i), "schools", 1000, 1))
+	}
+	w.runUntil(3*time.Second, func() bool {
+		s.answer()
+		return false
+	})
+	for i := range 2 {
+		j := testJob(fmt.Sprintf("other%d", i), "schools", 300, 1)
+		j.Queue, j.Pool = "other", "other"
+		w.submit(j)
+	}
+	done := w.runUntil(3*time.Second, func() bool {
+		s.answer()
+		return w.state("other0") == jobkeeper.StateComplete && w.state("other1") == jobkeeper.StateComplete
+	})
+	if !done {
+		t.Errorf("the jobs with room are %s and %s", w.state("other0"), w.state("other1"))
+	}
+	w.verify()
+}
+
+// Guards against a stream of urgent jobs, more than the adviser can handle, that keeps a less urgent step from its requests, of which it
+// needs two to find an approved target.
+func TestUrgentStepsDoNotKeepOthersFromAsking(t *testing.T) {
+	w := newWorldWithAdvice(t, 40)
+	queue := w.conf.Queues["quotes"]
+	queue.Priority = 5
+	w.conf.Queues["quotes"] = queue
+	urgent := w.conf.Queues["urgent"]
+	urgent.StretchFactor = 1000 // no urgent job is late
+	w.conf.Queues["urgent"] = urgent
+	w.engine.Configure(w.conf)
+	s := &serialAnswers{
+		w:        w,
+		approved: map[string]bool{"t8": true, "t9": true}, // the last ones by ID
+		validity: time.Minute,
+	}
+	n := 0
+	stream := func() bool {
+		s.answer()
+		if w.now%(400*time.Millisecond) == 0 {
+			j := testJob(fmt.Sprintf("new%d", n), "schools", 300, 1)
+			j.Queue = "urgent"
+			w.submit(j)
+			n++
+		}
+		return w.state("old") == jobkeeper.StateComplete
+	}
+	w.runUntil(time.Second, stream)
+	w.submit(testJob("old", "schools", 300, 1))
+	if !w.runUntil(20*time.Second, stream) {
+		t.Errorf("the old job is %s after %d urgent ones", w.state("old"), n)
+	}
+	w.verify()
+}
+
 // Guards against tickets that are thrown away before a task can start with them, so that the adviser
 // is asked again without end.
 func TestTicketsAreKeptUntilATaskCanStart(t *testing.T) {
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -147,6 +147,7 @@
 	adviceWanted     []adviceWish
 	adviceRequests   []AdviceRequest
 	unansweredAdvice int
+	adviceByWait     bool // the next request is for the step that has waited longest for one
 	dirty            map[string]bool
 	given            map[string]givenJob // jobs that other cells run, by ID
 	stopping         []*job              // ended jobs that may have runs on targets that were not listed yet
