manager: a pause after a request that does not reach the adviser

While the adviser can't be reached, each waiting step tried in turn at once: 120 requests in 5 s for 30 jobs, each with a warning in the log.

Cause: only the step waits after a failed request, not the daemon.

Change: the next request of the daemon is sent 0.25 s after a failed one at the earliest, as after a refused one.

Test: the row "the adviser can't be reached at first" of TestJobsThatWaitForASlowAdviserStart, 120 requests before, at most 25 now; all jobs complete in time with both.

--- a/internal/manager/adviser_queue.go
+++ b/internal/manager/adviser_queue.go
@@ -78,14 +78,14 @@
 		case call.Err() != nil:
 			l.timedOut()
 		default:
-			l.failed(sent)
+			l.failed(sent, answer.ReceivedAt)
 		}
 	})
 	return answer
 }
 
-// begin waits until fewer requests are under way than the adviser takes, and until it has room again
-// after it has refused one.
+// begin waits until fewer requests are under way than the adviser takes, and until the pause after a
+// refused or failed one is over.
 func (q *adviserQueue) begin(ctx context.Context, duration time.Duration) (*sentAdvice, error) {
 	for {
 		q.mu.Lock()
@@ -134,7 +134,8 @@
 	maxAdviceSlack = time.Minute
 	// maxAdviceBacklog is the number of requests that the adviser keeps waiting.
 	maxAdviceBacklog = 32
-	// minAdvicePause is the shortest time until the next request after a refused one.
+	// minAdvicePause is the shortest time until the next request after a refused or failed one, so
+	// that the steps that wait do not try one after the other at once.
 	minAdvicePause = 250 * time.Millisecond
 )
 
@@ -143,7 +144,7 @@
 	sent      []*sentAdvice // not known to be handled, the oldest first; also requests that were given up
 	slack     time.Duration // allowed beyond the stated time of the requests; zero for minAdviceSlack
 	answering bool          // the last request that has ended was answered
-	// closedUntil is when the next request may be sent after one was refused.
+	// closedUntil is when the next request may be sent after one was refused or failed.
 	closedUntil time.Duration
 }
 
@@ -201,7 +202,9 @@
 	l.closedUntil = now + max(s.duration, minAdvicePause)
 }
 
-// failed removes a request that the adviser does not handle.
-func (l *adviserLoad) failed(s *sentAdvice) {
+// failed removes a request that the adviser does not handle, for example because it can't be reached.
+func (l *adviserLoad) failed(s *sentAdvice, now time.Duration) {
+	l.answering = false
+	l.closedUntil = now + minAdvicePause
 	l.sent = slices.DeleteFunc(l.sent, func(other *sentAdvice) bool { return other == s })
 }
--- a/internal/manager/adviser_queue_test.go
+++ b/internal/manager/adviser_queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -20,6 +21,7 @@
 	validity time.Duration // of the tickets
 	lost     int           // number of first requests that are handled but not answered
 	panics   int           // number of first requests whose answers the client can't take
+	outage   time.Duration // how long it can't be reached, from the first request on
 	turn     chan struct{} // holds a value while no request is handled
 
 	mu       sync.Mutex
@@ -27,8 +29,12 @@
 	answered int
 	refused  int
 	waiting  int
+	failed   int
+	firstAt  time.Time
 }
 
+var errUnreachable = errors.New("connection refused")
+
 // maxWaitingAdvice is the number of waiting requests at which the adviser refuses.
 const maxWaitingAdvice = 32
 
@@ -62,6 +68,14 @@
 
 func (a *serialAdviser) Ask(ctx context.Context, q orchestrator.AdviceRequest) (map[string]string, time.Duration, error) {
 	a.mu.Lock()
+	if a.firstAt.IsZero() {
+		a.firstAt = time.Now()
+	}
+	if time.Since(a.firstAt) < a.outage {
+		a.failed++
+		a.mu.Unlock()
+		return nil, 0, errUnreachable
+	}
 	if a.waiting >= maxWaitingAdvice {
 		a.refused++
 		a.mu.Unlock()
@@ -92,11 +106,11 @@
 	return tickets, a.validity, nil
 }
 
-// counts returns how many requests were given up and how many were refused.
-func (a *serialAdviser) counts() (abandoned, refused int) {
+// counts returns how many requests were given up, refused and not delivered.
+func (a *serialAdviser) counts() (abandoned, refused, failed int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.received - a.answered, a.refused
+	return a.received - a.answered, a.refused, a.failed
 }
 
 // advisedSchema decodes configurations whose queues need advice and state how long it takes.
@@ -135,6 +149,9 @@
 		wasted int
 		// refused is the largest number of requests that may be refused.
 		refused int
+		// failed is the largest number of requests during the outage.
+		outage time.Duration
+		failed int
 	}{
 		{
 			name:   "many jobs at once",
@@ -183,6 +200,15 @@
 			within:  (52*460 + 6000) * ms,
 			refused: 20,
 		},
+		{
+			name:   "the adviser can't be reached at first",
+			takes:  100 * ms,
+			stated: 100 * ms,
+			jobs:   30,
+			outage: 5 * time.Second,
+			within: 15 * time.Second,
+			failed: 25,
+		},
 		{
 			name:   "a request is not answered",
 			takes:  100 * ms,
@@ -206,7 +232,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				a := newSerialAdviser(tt.takes)
-				a.lost, a.panics = tt.lost, tt.panics
+				a.lost, a.panics, a.outage = tt.lost, tt.panics, tt.outage
 				for range tt.before {
 					a.handle()
 				}
@@ -233,13 +259,16 @@
 						t.Errorf("%s is %s %s after %v, want complete", id, r.Verdict, r.State, tt.within)
 					}
 				}
-				abandoned, refused := a.counts()
+				abandoned, refused, failed := a.counts()
 				if abandoned > tt.wasted {
 					t.Errorf("%d requests were given up, want at most %d", abandoned, tt.wasted)
 				}
 				if refused > tt.refused {
 					t.Errorf("%d requests were refused, want at most %d", refused, tt.refused)
 				}
+				if failed > tt.failed {
+					t.Errorf("%d requests were not delivered, want at most %d", failed, tt.failed)
+				}
 			})
 		})
 	}
