orchestrator: only a VM of several crashes is avoided by a trial

Cause, suspected: a trial avoided the VM of the first crash already, which moves tasks to other targets and keeps these from other work.

Change: a trial avoids a VM only if several crashes of its task were all on that one, which is what the verdict rests on.

--- a/pkg/orchestrator/trial.go
+++ b/pkg/orchestrator/trial.go
@@ -102,15 +102,18 @@
 }
 
 // startTrial starts a task, or a gang, on trial: on idle targets or, if there are none for it, on
-// such with long-lived runs only. It returns false if there are none either. A task starts on a VM on
-// which a target has crashed under it only if there is no other one, since that VM may be the cause.
+// such with long-lived runs only. It returns false if there are none either. A task whose crashes were
+// all on one VM starts there only if there is no other one, since that VM may be the cause.
 func (e *Engine) startTrial(p *pool, c trialCandidate, views []packer.Target, now time.Duration) bool {
 	s := c.group.step
 	if s.step.Gang {
 		return e.startGangTrial(p, c, views, now)
 	}
 	t := c.tasks[0]
-	vms := t.crashed.vms()
+	var vms []string
+	if t.crashed.onOneVM() {
+		vms = t.crashed.vms()
+	}
 	for _, crashed := range []bool{false, true} {
 		if crashed && (len(vms) == 0 || !t.crashed.mayReturn(now)) {
 			return false
