journaler: no select on a channel timer

Cause, by the stacks: the runtime's handling of channel timers in a select, in race builds within testing/synctest (Go 1.26). The program has no fault.

Change: functions send the ticks of Shard.run and end the pauses of sleep, so that no select of the package has a channel timer.

--- a/pkg/journaler/commit.go
+++ b/pkg/journaler/commit.go
@@ -18,13 +18,17 @@
 	defer sweeping.Wait()
 	defer s.cancel()
 	sweeping.Go(s.sweepKeys)
-	sweep := time.NewTicker(sweepInterval)
-	defer sweep.Stop()
+	// A channel timer in a select makes the race detector of Go 1.26 crash now and then within
+	// testing/synctest, so a function sends the ticks.
+	sweep := make(chan struct{}, 1)
+	ticker := time.AfterFunc(sweepInterval, func() { sweep <- struct{}{} })
+	defer ticker.Stop()
 	for {
 		expiryDue := false
 		select {
 		case <-s.wake:
-		case <-sweep.C:
+		case <-sweep:
+			ticker.Reset(sweepInterval)
 			if err := s.Verify(s.ctx); errors.Is(err, ErrOwnershipLost) {
 				s.refuseChanges(err)
 				return
--- a/pkg/journaler/pacer.go
+++ b/pkg/journaler/pacer.go
@@ -49,10 +49,11 @@
 	if err := ctx.Err(); err != nil || d <= 0 {
 		return err
 	}
-	timer := time.NewTimer(d)
+	over := make(chan struct{}) // not a channel timer, see Shard.run
+	timer := time.AfterFunc(d, func() { close(over) })
 	defer timer.Stop()
 	select {
-	case <-timer.C:
+	case <-over:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
