orchestrator: tasks that take turns are interrupted from the beginning of a wave

Cause: VMs with the fewest runs were emptied first, so that the VMs whose long-running tasks may only be interrupted one after the other began when the others were done.

Change: VMs of the longest series come first, and of a series only those whose turn it is or comes next are closed. A turn begins when the targets of the step have been listed since the wave was added. A target that is being emptied is opened again only if its tasks may lack room elsewhere.

--- a/pkg/orchestrator/targets_test.go
+++ b/pkg/orchestrator/targets_test.go
@@ -83,7 +83,9 @@
 			case f.failing && elapsed > 100*time.Millisecond:
 				f.end(r, orchestrator.EndFailed)
 			case r.longRunning:
-				r.percent = 100
+				if elapsed >= w.startupTime {
+					r.percent = 100
+				}
 			case elapsed >= r.duration:
 				f.end(r, orchestrator.EndDone)
 			default:
--- a/pkg/orchestrator/wave.go
+++ b/pkg/orchestrator/wave.go
@@ -200,14 +200,15 @@
 		}
 	}
 	e.finishWave(w, now)
-	e.sortByEffort(remaining)
+	order := e.newWaveOrder(w, remaining, now)
+	order.sort(remaining)
 	slots := w.MaxUnavailable - down
 	overdue := now > w.seenAt+time.Duration(waveWaitShare*float64(w.Duration))
 	for _, vm := range remaining {
 		if slots+evacuateAhead <= 0 {
 			return
 		}
-		if now < e.fleet.retryAt[vm] {
+		if now < e.fleet.retryAt[vm] || !order.prepare(vm) {
 			continue
 		}
 		e.prepareMaintenance(w, vm, preparing, slots > 0, overdue, now)
@@ -224,7 +225,7 @@
 		if overdue && canOrder {
 			e.stopRemaining(t, now)
 		}
-		if now-t.evacuatingSince > evacuationLimit {
+		if now-t.evacuatingSince > evacuationLimit && e.awaitsRoom(t, now) {
 			e.cfg.Logger.Info("VM not emptied for its maintenance, target opened again", "vm", vm, "wave", w.Number, "target", t.ID, "running", len(t.attempts))
 			e.fleet.retryAt[vm] = now + evacuationPause
 			delete(preparing, vm)
@@ -265,23 +266,6 @@
 	e.cfg.Logger.Info("wave complete", "wave", w.Number, "vms", len(w.VMs), "took_ms", (now - w.seenAt).Milliseconds())
 }
 
-// sortByEffort sorts VMs by the work needed to empty them: first those that are being
-// emptied, then by the number of runs.
-func (e *Engine) sortByEffort(vms []string) {
-	effort := map[string]int{}
-	for _, vm := range vms {
-		t := e.targetOn(vm)
-		if t == nil {
-			continue
-		}
-		effort[vm] = len(t.attempts)
-		if t.evacuating {
-			effort[vm] -= 1000
-		}
-	}
-	sort.SliceStable(vms, func(i, j int) bool { return effort[vms[i]] < effort[vms[j]] })
-}
-
 func (e *Engine) spare(pool string) bool { return e.conf.Pools[pool].Spare }
 
 // WaveProgress reports whether a wave is complete, and whether none of its VMs is down for it
