--- /dev/null
+++ b/pkg/budgeter/limits.go
@@ -0,0 +1,82 @@
+package budgeter
+
+import "math"
+
+const (
+	// ConnectionBytes is what an open connection holds without a request: stacks, buffers and
+	// the state of the server.
+	ConnectionBytes = 16 << 10
+	// RequestBytes is what a request under way holds beside its body: its decoded header, its
+	// answer and a call to the store.
+	RequestBytes = 16 << 10
+	// FieldBytes is what a field of a decoded header holds beside its text.
+	FieldBytes = 192
+	// HeaderCost is what a byte of a header becomes at most when it is decoded.
+	HeaderCost = 16
+
+	// requestPart and connectionPart are the parts of a VM's memory for requests and for
+	// connections without one: one of each. The collector may need as much again.
+	requestPart    = 8
+	connectionPart = 16
+	// filePart is the part of the descriptors for callers: a request may need a second one for
+	// its call to the store, and the owner of a cell needs the rest for its targets.
+	filePart = 3
+	// reservedFiles is the number of descriptors of a VM that are not for sockets.
+	reservedFiles = 200
+	// unknownMemory and unknownFiles hold where the settings state no limit.
+	unknownMemory = 1 << 30
+	unknownFiles  = 4096
+
+	// operatorConnections allows for some hundred watches, operatorBodies for one body as it is read
+	// beside what is kept for small requests.
+	operatorConnections = 512
+	operatorBodies      = 8
+
+	serviceConnections = 32
+	serviceBytes       = 2 << 20
+)
+
+// Limits are the limits of a process.
+type Limits struct {
+	MemoryBytes int64 // zero: unknown
+	Files       int64 // descriptors; zero: unknown
+}
+
+// known returns the limits with defaults for those that are unknown.
+func (l Limits) known() Limits {
+	if l.MemoryBytes <= 0 {
+		l.MemoryBytes = unknownMemory
+	}
+	if l.Files <= 0 {
+		l.Files = unknownFiles
+	}
+	return l
+}
+
+// Callers returns the budget for the callers of a process with the limits.
+func (l Limits) Callers() Config {
+	l = l.known()
+	return Config{
+		Bytes:       l.MemoryBytes / requestPart,
+		Connections: int(max(1, min((l.Files-reservedFiles)/filePart, l.MemoryBytes/connectionPart/ConnectionBytes, math.MaxInt32))),
+	}
+}
+
+// Operators returns the budget for a listener that operators use, whose bodies have a limit. It has
+// half of what callers have, and room for the largest body as it is read.
+func (l Limits) Operators(maxBodyBytes int64) Config {
+	cfg := l.Callers()
+	return Config{
+		Bytes:       max(cfg.Bytes/2, maxBodyBytes*operatorBodies),
+		Connections: max(1, min(cfg.Connections/2, operatorConnections)),
+	}
+}
+
+// Service returns the budget for a listener that only the platform and its operators use, such as
+// readiness and metrics. It is apart from that for callers, so that neither takes the other's room.
+func Service() Config {
+	return Config{
+		Bytes:       serviceBytes,
+		Connections: serviceConnections,
+	}
+}
