drainer, manage, entry: callers are held to a budget

Bodies were read to their end with buffers that double, documents and headers decoded without a bound on what they hold, and connections, stalled requests and unread answers kept without limit.

Change: each listener has a budget. Connections are counted when they are accepted; bytes of a header are reserved as they are read, bodies by their stated length or 16 KiB at a time, and what a document becomes is reserved before it is decoded. Metrics, a log line and pages lead from the refused caller to the cause.

--- a/internal/coordinator/entry.go
+++ b/internal/coordinator/entry.go
@@ -41,7 +41,9 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+	idleTimeout    = 2 * time.Minute
 	// keepTime is how long after the start of a graceful stop idle connections are kept.
 	keepTime = time.Second
 	// startTimeout bounds the wait for a configuration at start. It is longer than two calls
--- a/internal/coordinator/servers.go
+++ b/internal/coordinator/servers.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyford/comfreyford/internal/drainer"
 	"github.com/comfreyford/comfreyford/internal/recorder"
 	"github.com/comfreyford/comfreyford/internal/server"
+	"github.com/comfreyford/comfreyford/pkg/budgeter"
 	"github.com/comfreyford/comfreyford/pkg/configurer"
 	"github.com/comfreyford/comfreyford/pkg/registrar"
 	"github.com/comfreyford/comfreyford/pkg/storer"
@@ -42,10 +43,17 @@
 		Status:         e,
 		Logger:         e.logger("operator"),
 	})
+	limits := budgeter.Limits{
+		MemoryBytes: s.MemoryLimitBytes,
+		Files:       s.DescriptorLimit,
+	}
+	byName := map[string]*drainer.Server{}
 	for _, h := range []struct {
 		address string
 		handler http.Handler
 		name    string
+		budget  budgeter.Config
+		refuse  func(w http.ResponseWriter)
 	}{
 		{
 			address: s.CallerAddress,
@@ -56,20 +64,36 @@
 				MaxRequestBytes: s.RequestBodyLimitBytes,
 				Logger:          e.logger("callers"),
 			}),
+			budget: limits.Callers(),
+			refuse: server.RefuseCaller,
 		},
 		{
 			address: s.OperatorAddress,
 			name:    "operator",
 			handler: operatorAPI,
+			budget:  limits.Operators(s.OperatorBodyLimitBytes),
 		},
 		{
 			address: s.MetricsAddress,
 			name:    "metrics",
 			handler: e.metricsHandler(),
+			budget:  budgeter.Service(),
 		},
 	} {
+		refusals := &drainer.RefusalLog{
+			Logger:   e.logger(h.name),
+			Listener: h.name,
+		}
 		opened, err := drainer.New(h.address, drainer.Config{
-			Handler:           h.handler,
+			Handler:        h.handler,
+			Budget:         h.budget,
+			HeldBodyBytes:  max(s.JournalBodyLimitBytes, s.OperatorBodyLimitBytes),
+			MaxHeaderBytes: maxHeaderBytes,
+			Refuse:         h.refuse,
+			Refused: func(r drainer.Refusal) {
+				refusals.Add(r)
+				e.recorder.CallerRefused(h.name, r.Reason)
+			},
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			KeepTime:          keepTime,
@@ -82,8 +106,9 @@
 			return Error.New("%s: %w", h.name, err)
 		}
 		e.servers = append(e.servers, opened)
+		byName[h.name] = opened
 	}
-	return nil
+	return drainer.Observe(byName, e.recorder)
 }
 
 func (e *Entry) serve() {
--- a/internal/demonstrator/process.go
+++ b/internal/demonstrator/process.go
@@ -84,6 +84,9 @@
 	return strings.TrimPrefix(strings.TrimSpace(line), "listening ")
 }
 
+// PID returns the ID of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process and does not wait for its effect.
 func (p *Process) Signal(s os.Signal) error {
 	return Error.Wrap(p.cmd.Process.Signal(s))
--- a/internal/dispatcher/body.go
+++ b/internal/dispatcher/body.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"github.com/comfreyford/comfreyford/pkg/budgeter"
 )
 
 // maxReplayBytes is the size of the largest request body that is buffered for retries.
@@ -101,5 +103,8 @@
 	if errors.As(err, &tooLarge) {
 		return NotRun(ReasonBodyTooLarge, err.Error())
 	}
+	if errors.Is(err, budgeter.ErrNoRoom) {
+		return NotRun(ReasonNoRoom, err.Error())
+	}
 	return NotRun(ReasonBadRequest, "the request body broke off")
 }
--- a/internal/dispatcher/outcome.go
+++ b/internal/dispatcher/outcome.go
@@ -33,6 +33,7 @@
 	ReasonBadIdentity        Reason = "bad_identity"
 	ReasonIdentityReused     Reason = "identity_reused"
 	ReasonBodyTooLarge       Reason = "body_too_large"
+	ReasonNoRoom             Reason = "no_room"
 	ReasonQueueFull          Reason = "queue_full"
 	ReasonLimitReached       Reason = "limit_reached"
 	ReasonNoTarget           Reason = "no_target"
@@ -102,6 +103,11 @@
 			reason: ReasonBodyTooLarge,
 			status: http.StatusRequestEntityTooLarge,
 		},
+		{
+			reason:     ReasonNoRoom,
+			status:     http.StatusServiceUnavailable,
+			retryAfter: time.Second,
+		},
 		{
 			reason:     ReasonQueueFull,
 			status:     http.StatusTooManyRequests,
--- /dev/null
+++ b/internal/drainer/connection.go
@@ -0,0 +1,319 @@
+package drainer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/comfreyford/comfreyford/pkg/budgeter"
+)
+
+// Reasons for which a caller is refused; labels of metrics and logs.
+const (
+	ReasonConnections = "connections" // too many connections
+	ReasonMemory      = "memory"      // what the request would hold does not fit
+	ReasonShed        = "shed"        // the caller made no progress while others waited
+	ReasonSlow        = "slow"        // the caller made no progress for too long
+)
+
+// expiryParts is how many times per window connections without progress are looked for.
+const expiryParts = 4
+
+// bodyCopies is how often a body is held that the handler reads into a growing buffer.
+const bodyCopies = 3
+
+// phase is the part of a request that a connection is in.
+type phase int32
+
+const (
+	phaseHeader   phase = iota // before the header is complete
+	phaseHandling              // the handler runs
+	phaseRest                  // the answer, and what the handler has not read of the body
+)
+
+// connection is a caller's connection that counts against a budget.
+type connection struct {
+	net.Conn
+	server *Server
+	holder *budgeter.Holder[*connection]
+	phase  atomic.Int32
+	shed   atomic.Bool
+}
+
+// budgetedListener accepts the connections that the budget of its server has room for.
+type budgetedListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener. Connections that do not fit are closed.
+func (l *budgetedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.server.admit(conn); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// admit returns the connection if the budget has room for it, and otherwise closes it.
+func (s *Server) admit(conn net.Conn) net.Conn {
+	c := &connection{
+		Conn:   conn,
+		server: s,
+	}
+	origin := hostOf(conn.RemoteAddr())
+	holder, shed := s.budget.Open(c, origin, time.Now())
+	s.close(shed, ReasonShed)
+	if holder == nil {
+		s.refused(ReasonConnections, origin)
+		_ = conn.Close() // the caller has sent nothing that was read
+		return nil
+	}
+	c.holder = holder
+	s.expireLater()
+	return c
+}
+
+// close closes the connections of holders that have lost what they held.
+func (s *Server) close(holders []*budgeter.Holder[*connection], reason string) {
+	for _, h := range holders {
+		h.Connection.shed.Store(true)
+		s.refused(reason, hostOf(h.Connection.RemoteAddr()))
+		_ = h.Connection.Conn.Close() // its handler, if any, notices
+	}
+}
+
+// expireLater makes sure that connections without progress are looked for.
+func (s *Server) expireLater() {
+	if s.expiring.CompareAndSwap(false, true) {
+		time.AfterFunc(s.budget.Config().Window/expiryParts, s.expire)
+	}
+}
+
+func (s *Server) expire() {
+	s.expiring.Store(false)
+	s.close(s.budget.Expire(time.Now()), ReasonSlow)
+	if s.budget.Usage().Connections > 0 {
+		s.expireLater()
+	}
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.received(n)
+	}
+	if c.shed.Load() {
+		return 0, os.ErrDeadlineExceeded // net/http closes the connection without an answer
+	}
+	return n, err
+}
+
+// received notes progress, and reserves what a header will hold before it is decoded.
+func (c *connection) received(n int) {
+	now := time.Now()
+	budget := c.server.budget
+	if phase(c.phase.Load()) != phaseHeader {
+		budget.Progress(c.holder, n, now)
+		return
+	}
+	budget.Wait(c.holder, budgeter.WaitingForCaller, now)
+	budget.Progress(c.holder, n, now)
+	ok, shed := budget.Reserve(c.holder, int64(n)*budgeter.HeaderCost, now)
+	c.server.close(shed, ReasonShed)
+	if !ok && !c.shed.Swap(true) {
+		c.server.refused(ReasonMemory, hostOf(c.RemoteAddr()))
+	}
+}
+
+// Write implements net.Conn.
+func (c *connection) Write(p []byte) (int, error) {
+	now := time.Now()
+	budget := c.server.budget
+	budget.Wait(c.holder, budgeter.WaitingForCaller, now)
+	n, err := c.Conn.Write(p)
+	budget.Progress(c.holder, n, now)
+	if phase(c.phase.Load()) == phaseHandling {
+		budget.Wait(c.holder, budgeter.WaitingForWork, now)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.server.budget.Close(c.holder)
+	return c.Conn.Close()
+}
+
+// CloseWrite makes net/http end an answer before it closes the connection.
+func (c *connection) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// begin notes that the header of a request was read. It reports whether the request fits.
+func (c *connection) begin(r *http.Request) bool {
+	c.phase.Store(int32(phaseHandling))
+	held := int64(budgeter.RequestBytes)
+	for name, values := range r.Header {
+		held += budgeter.FieldBytes + int64(len(name))
+		for _, value := range values {
+			held += int64(len(value))
+		}
+	}
+	ok, shed := c.server.budget.Begin(c.holder, held, time.Now())
+	c.server.close(shed, ReasonShed)
+	if !ok && !c.shed.Load() {
+		c.server.refused(ReasonMemory, hostOf(c.RemoteAddr()))
+	}
+	return ok
+}
+
+// end notes that the handler has returned.
+func (c *connection) end() {
+	c.phase.Store(int32(phaseRest))
+	c.server.budget.Release(c.holder)
+	c.server.budget.Wait(c.holder, budgeter.WaitingForCaller, time.Now())
+}
+
+// idle notes that the process waits for the next request.
+func (c *connection) idle() {
+	c.phase.Store(int32(phaseHeader))
+	c.server.budget.Wait(c.holder, budgeter.WaitingForRequest, time.Now())
+}
+
+// body is the body of a request, whose caller has to make progress while it is read.
+type body struct {
+	io.ReadCloser
+	connection *connection
+	unreserved int64 // bytes that the handler is going to hold and has not reserved itself
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	budget := b.connection.server.budget
+	budget.Wait(b.connection.holder, budgeter.WaitingForCaller, time.Now())
+	n, err := b.ReadCloser.Read(p)
+	budget.Wait(b.connection.holder, budgeter.WaitingForWork, time.Now())
+	if held := min(int64(n), b.unreserved); held > 0 {
+		b.unreserved -= held
+		if err := b.connection.reserve(held * bodyCopies); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
+}
+
+type connectionKey struct{}
+
+// Reserve reserves n bytes until the request of the context is answered. It returns
+// budgeter.ErrNoRoom if they don't fit. Without a Server, nothing is reserved.
+func Reserve(ctx context.Context, n int64) error {
+	c, ok := ctx.Value(connectionKey{}).(*connection)
+	if !ok {
+		return nil
+	}
+	return c.reserve(n)
+}
+
+func (c *connection) reserve(n int64) error {
+	fits, shed := c.server.budget.Reserve(c.holder, n, time.Now())
+	c.server.close(shed, ReasonShed)
+	if fits {
+		return nil
+	}
+	if !c.shed.Load() {
+		c.server.refused(ReasonMemory, hostOf(c.RemoteAddr()))
+	}
+	return budgeter.ErrNoRoom
+}
+
+// EverFits reports whether n bytes can be reserved for a request when the server is idle.
+func EverFits(ctx context.Context, n int64) bool {
+	c, ok := ctx.Value(connectionKey{}).(*connection)
+	return !ok || c.server.budget.EverFits(n)
+}
+
+// segment is how much of a body without a stated length is reserved and read at a time.
+const segment = 16 << 10
+
+// ReadBody reads the body of a request, for which it reserves room first. The error is
+// budgeter.ErrNoRoom,
+// an *http.MaxBytesError if the body exceeds limit, or that of the connection.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		w.Header().Set("Connection", "close") // the body is not read
+		return nil, &http.MaxBytesError{
+			Limit: limit,
+		}
+	}
+	source := http.MaxBytesReader(w, r.Body, limit)
+	if r.ContentLength >= 0 {
+		if err := Reserve(r.Context(), r.ContentLength); err != nil {
+			return nil, err
+		}
+		data := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(source, data)
+		return data, err
+	}
+	var segments [][]byte
+	total := 0
+	for {
+		if err := Reserve(r.Context(), segment); err != nil {
+			return nil, err
+		}
+		data, complete, err := readSegment(source)
+		if err != nil {
+			return nil, err
+		}
+		segments = append(segments, data)
+		total += len(data)
+		if complete {
+			break
+		}
+	}
+	if len(segments) == 1 {
+		return segments[0], nil
+	}
+	if err := Reserve(r.Context(), int64(total)); err != nil {
+		return nil, err
+	}
+	return bytes.Join(segments, nil), nil
+}
+
+// readSegment reads a segment, and tells whether the body ends with it.
+func readSegment(source io.Reader) (data []byte, complete bool, err error) {
+	data = make([]byte, segment)
+	n := 0
+	for n < segment {
+		read, err := source.Read(data[n:])
+		n += read
+		// Not errors.Is: a wrapped io.EOF means that the body is incomplete.
+		if err == io.EOF {
+			return data[:n], true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return data, false, nil
+}
+
+func hostOf(address net.Addr) string {
+	if tcp, ok := address.(*net.TCPAddr); ok {
+		return tcp.IP.String()
+	}
+	return address.String()
+}
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -8,14 +8,17 @@
 	"context"
 	"errors"
 	"log"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/comfreyford/comfreyford/internal/sleeper"
+	"github.com/comfreyford/comfreyford/pkg/budgeter"
 )
 
 // Error is the class of all errors of this package.
@@ -25,6 +28,10 @@
 // between availability zones.
 const IdleTime = 200 * time.Millisecond
 
+// RefusalRetryAfter is when callers without room are told to come back, in seconds: by then those
+// that make no progress have given way.
+const RefusalRetryAfter = 1
+
 // Config configures a Server.
 type Config struct {
 	Handler           http.Handler
@@ -35,6 +42,26 @@
 	// safe for a caller, and the time that a silent caller delays Stop.
 	KeepTime time.Duration
 	ErrorLog *log.Logger // nil: the standard logger
+	// Budget bounds what callers hold. Without Connections there is no bound.
+	Budget budgeter.Config
+	// HeldBodyBytes is how much of a body a handler holds that does not read it by ReadBody. Room
+	// for it is reserved as it is read; Read returns budgeter.ErrNoRoom when it does not fit.
+	HeldBodyBytes int64
+	// Refuse answers a request that does not fit; nil: Refuse of this package. The answer must close
+	// the connection, because the rest of the request is not read.
+	Refuse func(w http.ResponseWriter)
+	// MaxHeaderBytes bounds the header of a request; zero: the bound of net/http.
+	MaxHeaderBytes int
+	// Refused is called for each caller that is refused or disconnected for want of room; it must
+	// not block. It may be nil.
+	Refused func(Refusal)
+}
+
+// Refusal is a caller that is refused or disconnected for want of room.
+type Refusal struct {
+	Reason string // a Reason constant
+	Origin string // address of the caller
+	Usage  budgeter.Usage
 }
 
 // Server is an HTTP server that counts its open requests and connections.
@@ -47,6 +74,11 @@
 	connections atomic.Int64
 	served      chan struct{}             // closed when no further connection is accepted
 	closeSince  atomic.Pointer[time.Time] // when CloseAfterAnswer was called first
+	budget      *budgeter.Budget[*connection]
+	heldBody    int64
+	refuse      func(w http.ResponseWriter)
+	onRefused   func(Refusal)
+	expiring    atomic.Bool // expire is going to be called
 }
 
 // New listens on the TCP address. The error wraps that of package net if the address is
@@ -57,17 +89,31 @@
 		return nil, err
 	}
 	s := &Server{
-		handler:  cfg.Handler,
-		listener: l,
-		keepTime: cfg.KeepTime,
-		served:   make(chan struct{}),
+		handler:   cfg.Handler,
+		listener:  l,
+		keepTime:  cfg.KeepTime,
+		served:    make(chan struct{}),
+		heldBody:  cfg.HeldBodyBytes,
+		refuse:    cfg.Refuse,
+		onRefused: cfg.Refused,
+	}
+	if s.refuse == nil {
+		s.refuse = Refuse
 	}
+	if cfg.Budget.Connections == 0 {
+		cfg.Budget.Connections, cfg.Budget.Bytes = math.MaxInt32, math.MaxInt64
+	}
+	s.budget = budgeter.New[*connection](cfg.Budget)
 	s.server = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: cfg.ReadHeaderTimeout,
 		IdleTimeout:       cfg.IdleTimeout,
+		MaxHeaderBytes:    cfg.MaxHeaderBytes,
 		ConnState:         s.countConnection,
 		ErrorLog:          cfg.ErrorLog,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, conn)
+		},
 	}
 	return s, nil
 }
@@ -78,7 +124,10 @@
 // Serve serves until Stop or Close and then returns nil. It must be called at most once.
 func (s *Server) Serve() error {
 	defer close(s.served)
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+	if err := s.server.Serve(&budgetedListener{
+		Listener: s.listener,
+		server:   s,
+	}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return Error.Wrap(err)
 	}
 	return nil
@@ -91,16 +140,61 @@
 	if s.closeSince.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
+	c, ok := r.Context().Value(connectionKey{}).(*connection)
+	if !ok {
+		s.handler.ServeHTTP(w, r)
+		return
+	}
+	defer c.end()
+	if !c.begin(r) {
+		s.refuse(w)
+		return
+	}
+	if r.Body != http.NoBody {
+		// net/http looks at the body of its own request when the handler has returned.
+		wrapped := *r
+		wrapped.Body = &body{
+			ReadCloser: r.Body,
+			connection: c,
+			unreserved: s.heldBody,
+		}
+		r = &wrapped
+	}
 	s.handler.ServeHTTP(w, r)
 }
 
-func (s *Server) countConnection(_ net.Conn, state http.ConnState) {
+// Refuse answers a request that has not run for want of room. The connection is closed, because the
+// rest of the request is not read.
+func Refuse(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", strconv.Itoa(RefusalRetryAfter))
+	http.Error(w, budgeter.ErrNoRoom.Error(), http.StatusServiceUnavailable)
+}
+
+func (s *Server) refused(reason, origin string) {
+	if s.onRefused != nil {
+		s.onRefused(Refusal{
+			Reason: reason,
+			Origin: origin,
+			Usage:  s.budget.Usage(),
+		})
+	}
+}
+
+// Usage returns what callers hold.
+func (s *Server) Usage() budgeter.Usage { return s.budget.Usage() }
+
+func (s *Server) countConnection(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		s.connections.Add(1)
 	case http.StateClosed, http.StateHijacked:
 		s.connections.Add(-1)
-	case http.StateActive, http.StateIdle:
+	case http.StateIdle:
+		if c, ok := conn.(*connection); ok {
+			c.idle()
+		}
+	case http.StateActive:
 	}
 }
 
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -60,6 +60,8 @@
 	AnswerBodyLimitBytes   int64
 	JournalBodyLimitBytes  int64
 	OperatorBodyLimitBytes int64
+	MemoryLimitBytes       int64
+	DescriptorLimit        int64
 
 	InteractiveTimeout     time.Duration
 	DeferrableTimeout      time.Duration
--- a/internal/loader/table.go
+++ b/internal/loader/table.go
@@ -86,6 +86,8 @@
 		// The key-value service stores values of up to 1 MB; half of that leaves room for the record.
 		byteLimitKey("journal_body_limit", 512<<10, 1<<10, 512<<10, "body of a deferrable or non-idempotent request, which the journal keeps", func(s *Settings) *int64 { return &s.JournalBodyLimitBytes }),
 		byteLimitKey("operator_body_limit", 1<<20, 64<<10, 16<<20, "body of a request of an operator", func(s *Settings) *int64 { return &s.OperatorBodyLimitBytes }),
+		byteLimitKey("memory_limit", 1<<30, 64<<20, 1<<40, "memory of the VM; an eighth of it is for requests under way", func(s *Settings) *int64 { return &s.MemoryLimitBytes }),
+		countLimitKey("descriptor_limit", 16_384, 256, 1<<20, "descriptors of the process; a third of those above 200 is for connections of callers", func(s *Settings) *int64 { return &s.DescriptorLimit }),
 	}
 }
 
@@ -172,10 +174,18 @@
 }
 
 func byteLimitKey(name string, def, low, high int64, help string, field func(*Settings) *int64) Key {
+	return limitKey(name, "bytes", def, low, high, help, field)
+}
+
+func countLimitKey(name string, def, low, high int64, help string, field func(*Settings) *int64) Key {
+	return limitKey(name, "1", def, low, high, help, field)
+}
+
+func limitKey(name, unit string, def, low, high int64, help string, field func(*Settings) *int64) Key {
 	return Key{
 		Name:    name,
 		Type:    typeInteger,
-		Unit:    "bytes",
+		Unit:    unit,
 		Default: def,
 		Min:     low,
 		Max:     high,
--- a/internal/recorder/jobs.go
+++ b/internal/recorder/jobs.go
@@ -83,6 +83,9 @@
 			Labels: "call, result",
 			Help:   "time of calls to the store, waits for changes included",
 		},
+		callerBytes(),
+		callerConnections(),
+		callerRefusals(),
 		{
 			Name: Owner,
 			Kind: KindGauge,
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -27,6 +27,7 @@
 	r.Forward("no_allowance")
 	r.StoreCall("get", "ok")
 	r.Restart("membership")
+	r.CallerRefused("callers", "memory")
 	for _, m := range Table() {
 		if m.Kind != KindGauge {
 			continue
@@ -64,6 +65,7 @@
 	r.TaskEnd("desk", "done")
 	r.VMOrder("move", "ok")
 	r.StoreDuration("commit", "ok", time.Millisecond)
+	r.CallerRefused("callers", "memory")
 	for _, m := range JobTable() {
 		if m.Kind != KindGauge {
 			continue
--- a/internal/recorder/table.go
+++ b/internal/recorder/table.go
@@ -177,6 +177,9 @@
 			Labels: "component",
 			Help:   "restarts of a component by its supervisor",
 		},
+		callerBytes(),
+		callerConnections(),
+		callerRefusals(),
 	}
 }
 
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/comfreyford/comfreyford/internal/dispatcher"
+	"github.com/comfreyford/comfreyford/pkg/budgeter"
 )
 
 // Headers of the caller's API.
@@ -59,6 +60,18 @@
 	Logger          hclog.Logger
 }
 
+// RefuseCaller answers a request for which the entry daemon has no room. The connection is closed,
+// because the rest of the request is not read.
+func RefuseCaller(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	c := callerHandler{
+		cfg: CallerHandlerConfig{
+			Logger: hclog.NewNullLogger(),
+		},
+	}
+	c.writeResult(w, dispatcher.NotRun(dispatcher.ReasonNoRoom, budgeter.ErrNoRoom.Error()))
+}
+
 type callerHandler struct {
 	cfg CallerHandlerConfig
 	// buffers holds *[copyBufferBytes]byte. Allocating one for each response caused most of
