orchestrator: tasks that slow each other down are kept apart

Cause: the packer added a fixed cost for neighbours of the other sort and took no account of which tasks disturb which.

Change: owners pass what targets report of their runs to the attributor, and the expected loss by interference is part of a target's cost. No target is closed for it. Best-effort tasks avoid targets where a latency-sensitive one is above three quarters of its target. Pairs, placements and runs that were slowed down are logged at bounded rates and counted; explain names a neighbour as a cause.

With the cost in the packer switched off, TestChoose, TestTasksThatDisturbAreKeptApartWhereThereIsRoom and TestBestEffortTasksStartWhereServedTasksHaveHeadroom fail.

--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -18,6 +18,9 @@
 	waitedMS     float64
 	firstWaitMS  float64 // from acceptance to the first start
 	stepWaitMS   float64 // sum over the steps of the wait for the first start
+	runsSlowed   int     // by tasks beside them
+	slowedBy     string  // kind of the neighbour that slowed down a run the most
+	slowedFactor float64 // the greatest factor on a run
 }
 
 // cause returns the likely cause of a job's outcome, as a sentence.
@@ -68,6 +71,11 @@
 		f.lostReason = text(e.Fields["reason"])
 	case "start refused or not confirmed":
 		f.startsFailed++
+	case "run slowed down by neighbours":
+		f.runsSlowed++
+		if factor := number(e, "factor"); factor > f.slowedFactor {
+			f.slowedBy, f.slowedFactor = text(e.Fields["neighbour"]), factor
+		}
 	case "task waiting for another start":
 		switch text(e.Fields["how"]) {
 		case "failed":
@@ -108,6 +116,7 @@
 	add(f.firstWaitMS >= minReportedWaitMS, "it waited %.0f ms for its first start", f.firstWaitMS)
 	add(f.stepWaitMS >= minReportedWaitMS && f.stepWaitMS > f.firstWaitMS, "its steps waited %.0f ms in total for their first starts", f.stepWaitMS)
 	add(f.waitedFor != "", "a step waited for %s, %.0f ms after it was due", f.waitedFor, f.waitedMS)
+	add(f.runsSlowed > 0, "%d runs were slowed down by tasks beside them (%.1f times, %s)", f.runsSlowed, f.slowedFactor, f.slowedBy)
 	add(f.startsFailed > 0, "%d starts were not carried out", f.startsFailed)
 	if len(reasons) == 0 {
 		return "the logs show no delay; its tasks ran longer than estimated"
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -83,6 +83,12 @@
 			log:  accepted + line(10, "job ended", `"job":"a1","state":"failed","reason":"task a1.0.0.0 failed i-3"`),
 			want: "it failed: task a1.0.0.0 failed i-3",
 		},
+		{
+			name: "neighbours",
+			log: accepted + line(800, "run slowed down by neighbours", `"task":"a1.0.0.0","factor":1.4,"neighbour":"image index"`) +
+				line(900, "run slowed down by neighbours", `"task":"a1.0.0.1","factor":2.1,"neighbour":"image batch"`) + ended(1500),
+			want: "2 runs were slowed down by tasks beside them (2.1 times, image batch)",
+		},
 		{
 			name: "cancelled",
 			log:  accepted + line(10, "job cancelled", `"job":"a1"`),
--- a/internal/manager/metrics.go
+++ b/internal/manager/metrics.go
@@ -31,11 +31,33 @@
 			}
 			return 0
 		})),
+		r.RegisterGauge(recorder.InterferingPairs, m.interferenceSamples),
 		r.RegisterGauge(recorder.PoolTargets, func() []recorder.Sample { return m.poolSamples(false) }),
 		r.RegisterGauge(recorder.PoolCores, func() []recorder.Sample { return m.poolSamples(true) }),
 	)
 }
 
+// interferenceSamples returns the number of pairs of kinds that disturb each other, by cell.
+func (m *Manager) interferenceSamples() []recorder.Sample {
+	var samples []recorder.Sample
+	for _, o := range m.runningOwners() {
+		samples = append(samples, recorder.Sample{
+			Value:  float64(o.interferingPairs()),
+			Labels: []attribute.KeyValue{attribute.String("cell", o.cell)},
+		})
+	}
+	return samples
+}
+
+func (o *owner) interferingPairs() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.engine == nil {
+		return 0
+	}
+	return o.engine.InterferingPairs()
+}
+
 // poolSamples returns the number of usable targets of each pool in the cells that this daemon
 // owns, or its cores by part if cores is set.
 func (m *Manager) poolSamples(cores bool) []recorder.Sample {
--- a/internal/recorder/jobs.go
+++ b/internal/recorder/jobs.go
@@ -13,6 +13,8 @@
 	JobDuration        = "comfreyford_job_duration"
 	TaskOrders         = "comfreyford_task_orders"
 	TaskEnds           = "comfreyford_task_ends"
+	TasksKeptApart     = "comfreyford_tasks_kept_apart"
+	InterferingPairs   = "comfreyford_interfering_pairs"
 	VMOrders           = "comfreyford_vm_orders"
 	StoreCallDuration  = "comfreyford_store_call_duration"
 	Owner              = "comfreyford_owner"
@@ -69,6 +71,20 @@
 			Labels: "pool, how",
 			Help:   "runs that ended, as targets list them, or lost with their target; on the owner",
 		},
+		{
+			Name:   TasksKeptApart,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "pool",
+			Help:   "starts on another target than without regard to tasks that slow each other down; on the owner",
+		},
+		{
+			Name:   InterferingPairs,
+			Kind:   KindGauge,
+			Unit:   "1",
+			Labels: "cell",
+			Help:   "pairs of kinds of tasks of which one is known to slow down the other; on the owner",
+		},
 		{
 			Name:   VMOrders,
 			Kind:   KindCounter,
@@ -198,6 +214,14 @@
 	}.withNone())
 }
 
+// TaskKeptApart counts a start that avoids a target for its neighbours.
+func (r *Recorder) TaskKeptApart(pool string) {
+	r.count(TasksKeptApart, labelSet{
+		key1:   "pool",
+		value1: pool,
+	}.withNone())
+}
+
 // StoreDuration records a call to the store.
 func (r *Recorder) StoreDuration(call, result string, took time.Duration) {
 	r.record(StoreCallDuration, labelSet{
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/comfreyford/comfreyford/pkg/attributor"
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
 	"github.com/comfreyford/comfreyford/pkg/storer"
 )
@@ -53,6 +54,8 @@
 	done            int
 	remainingPathMS int64 // critical path from the start of this step to the end of the job
 	speed           stepSpeed
+	kind            attributor.Kind
+	interference    attributor.Term // what its tasks have in common, to the attributor
 	advice          advice
 	started         bool
 	// waitLoggedAt is when a long wait of the step was last logged.
@@ -92,7 +95,11 @@
 	percent          int
 	progressAt       time.Duration // when percent last changed
 	trial            time.Duration // how long from its confirmation no other task may start on the target
+	resumed          bool          // it started from a checkpoint
+	observedAt       time.Duration // when the attributor last got an observation of it
+	observedPercent  int           // its percent then
 	pace             int
+	paceBefore       int // pace before paceSentAt
 	paceSentAt       time.Duration
 	measurement      float64
 }
@@ -386,6 +393,7 @@
 			occurrence:      o,
 			index:           i,
 			step:            &j.doc.Steps[i],
+			kind:            kindOf(j.doc, &j.doc.Steps[i]),
 			remainingPathMS: after[i],
 		}
 		count := s.step.Count
--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -52,6 +52,11 @@
 	if !l.EndsOmitted {
 		e.endMissing(t, present, l, now)
 	}
+	for _, r := range l.Running {
+		if a := t.attempts[r.key()]; a != nil {
+			e.observeRun(a, false, now)
+		}
+	}
 }
 
 // handleRunning processes an entry of a list of running tasks. It returns false if the run
@@ -169,6 +174,10 @@
 		return
 	}
 	e.cfg.Logger.Debug("run ended", "task", end.Task.String(), "run", end.Run, "target", t.ID, "how", end.How)
+	if end.How == EndDone {
+		e.observeRun(a, true, now)
+		e.reportSlowed(a, now)
+	}
 	e.recordEnd(a.task, t, end, now, nowMS)
 	e.endAttempt(a, end.How, end.Checkpoint, now)
 }
--- a/pkg/orchestrator/observer.go
+++ b/pkg/orchestrator/observer.go
@@ -22,6 +22,9 @@
 	// TaskEnd is called once for each end of a run that a target lists, and with "lost" for each
 	// run that ended unlisted with its target.
 	TaskEnd(pool, how string)
+	// TaskKeptApart is called when a task starts on another target than it would have without
+	// regard to interference.
+	TaskKeptApart(pool string)
 }
 
 type nopObserver struct{}
@@ -31,6 +34,7 @@
 func (nopObserver) TaskOrder(string, string)                       {}
 func (nopObserver) VMOrder(string, string)                         {}
 func (nopObserver) TaskEnd(string, string)                         {}
+func (nopObserver) TaskKeptApart(string)                           {}
 
 // PoolState is the state of a pool, for metrics. Usable counts targets that may get new
 // work; the other amounts are in thousandths of a core.
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -126,6 +126,9 @@
 	RosterUnknown bool
 	// FirstOwner is true if there was no earlier owner.
 	FirstOwner bool
+	// IgnoreInterference is true if tasks are placed without regard to which kinds slow each other
+	// down, for comparison.
+	IgnoreInterference bool
 }
 
 // clockDrift bounds the relative difference in rate between the clocks of a target and
@@ -164,6 +167,7 @@
 	byVM             map[string]*target
 	regroupDue       bool // pool.targets is out of date
 	waitLoggedAt     time.Duration
+	interference     interference
 	takingOver       bool // tasks may be running on roster targets that were not listed yet
 	stats            Stats
 }
@@ -193,19 +197,20 @@
 // New returns an Engine for a new owner. It has no jobs and targets until they are added.
 func New(cfg Config) *Engine {
 	e := &Engine{
-		cfg:         cfg,
-		jobs:        map[string]*job{},
-		targets:     map[string]*target{},
-		pools:       map[string]*pool{},
-		usage:       map[string]jobkeeper.Resources{},
-		teamBuckets: map[string]*tokenBucket{},
-		dirty:       map[string]bool{},
-		given:       map[string]givenJob{},
-		lapses:      map[string]lapse{},
-		strayStarts: map[string][]strayStart{},
-		fleet:       newFleet(),
-		byVM:        map[string]*target{},
-		takingOver:  !cfg.FirstOwner,
+		cfg:          cfg,
+		jobs:         map[string]*job{},
+		targets:      map[string]*target{},
+		pools:        map[string]*pool{},
+		usage:        map[string]jobkeeper.Resources{},
+		teamBuckets:  map[string]*tokenBucket{},
+		dirty:        map[string]bool{},
+		given:        map[string]givenJob{},
+		lapses:       map[string]lapse{},
+		strayStarts:  map[string][]strayStart{},
+		fleet:        newFleet(),
+		byVM:         map[string]*target{},
+		interference: newInterference(),
+		takingOver:   !cfg.FirstOwner,
 	}
 	e.roster = newRoster(cfg.Roster)
 	if e.cfg.Observer == nil {
@@ -242,6 +247,7 @@
 	e.openOccurrences(now, wallMS)
 	e.stopStuck(now)
 	e.resolveUnconfirmed(now)
+	e.reviewInterference(now)
 	e.pace(now)
 	e.maintain(now)
 	e.plan(now)
--- a/pkg/orchestrator/pace.go
+++ b/pkg/orchestrator/pace.go
@@ -69,7 +69,7 @@
 		return
 	}
 	e.cfg.Logger.Info("task paced", "task", a.task.id().String(), "target", a.target.ID, "from", a.pace, "to", wanted, "over_target", over)
-	a.pace = wanted
+	a.paceBefore, a.pace = a.pace, wanted
 	a.paceSentAt = now
 	e.orders = append(e.orders, Order{
 		Kind:    KindPace,
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -145,6 +145,7 @@
 			continue
 		}
 		own := e.viewFor(views, g.step)
+		e.weighInterference(p, own, g.step)
 		start := e.startTasks
 		if g.step.step.Gang {
 			start = e.startGang
@@ -233,12 +234,15 @@
 			e.logWait(g, p, waitLimit, now)
 			return true
 		}
-		i := e.choose(g.step, t, g.step.rack(), views, now)
+		rack := g.step.rack()
+		i := e.choose(g.step, t, rack, views, now)
 		if i < 0 {
 			return t.avoid != ""
 		}
+		e.reportApart(t, p, views, i, rack, now)
 		e.launch(t, p.targets[i], e.nextRun(g.step.job), now)
 		place(&views[i], g.step.step)
+		views[i].Interference = p.targets[i].expectedInterference(g.step, e.disturbances(g.step.kind))
 	}
 	return true
 }
@@ -384,6 +388,7 @@
 		orderedAt:  now,
 		progressAt: now,
 		trial:      t.trial(),
+		resumed:    t.checkpoint != "",
 		pace:       100,
 	}
 	e.attach(a)
--- a/pkg/orchestrator/targets_test.go
+++ b/pkg/orchestrator/targets_test.go
@@ -31,12 +31,15 @@
 	refusals        int           // number of next starts that are refused with OutcomeNoRoom
 	stopped         map[runKey]bool
 	state           orchestrator.VMState
-	failing         bool
-	frozen          bool          // tasks make no progress
-	moveEndsAt      time.Duration // end of the move in progress; zero if there is none
-	crashAt         time.Duration // when a task crashes it; zero if none does
-	restartAt       time.Duration // when it starts again after a crash; zero if it does not
-	cutUntil        time.Duration // when it can be reached again; zero if it is not cut off
+	// slowedBy returns the factor on the duration and latency of a run on this target that its
+	// neighbours cause; nil for 1.
+	slowedBy   func(r *fakeRun) float64
+	failing    bool
+	frozen     bool          // tasks make no progress
+	moveEndsAt time.Duration // end of the move in progress; zero if there is none
+	crashAt    time.Duration // when a task crashes it; zero if none does
+	restartAt  time.Duration // when it starts again after a crash; zero if it does not
+	cutUntil   time.Duration // when it can be reached again; zero if it is not cut off
 }
 
 // runKey identifies a run. The run number alone does not: members of a gang share it.
@@ -47,6 +50,9 @@
 
 type fakeRun struct {
 	runKey
+	image         string
+	pace          int     // in percent
+	baseLatency   float64 // tail latency without neighbours, in ms; zero if it serves nobody
 	started       time.Duration
 	duration      time.Duration
 	longRunning   bool
@@ -67,6 +73,9 @@
 			if f.runs[r.runKey] != r {
 				continue // ended with another member of its gang
 			}
+			if f.slowedBy != nil && !r.longRunning {
+				r.duration += time.Duration(float64(worldStep) * (1 - 1/f.slowedBy(r)))
+			}
 			elapsed := w.now - r.started
 			if r.stopAt > 0 && w.now >= r.stopAt {
 				w.endRun(f, r, orchestrator.EndStopped)
@@ -288,6 +297,10 @@
 				w.endRun(f, r, orchestrator.EndStopped)
 			}
 		}
+	case orchestrator.KindPace:
+		if r := f.runs[orderKey(o)]; r != nil {
+			r.pace = o.Percent
+		}
 	case orchestrator.KindStart:
 		return w.startOn(f, o)
 	}
@@ -318,6 +331,9 @@
 		longRunning:   step.LongRunning,
 		checkpointing: step.Checkpointing,
 		needs:         step.Reserved(),
+		image:         step.Image,
+		pace:          100,
+		baseLatency:   float64(step.TailLatencyTargetMS) / 2,
 	}
 	if step.Gang {
 		f.runs[orderKey(o)].gang = step.Count
@@ -333,6 +349,14 @@
 	return orchestrator.OutcomeOK
 }
 
+// latency returns the tail latency that a target reports for a run.
+func (f *fakeTarget) latency(r *fakeRun) float64 {
+	if f.slowedBy == nil {
+		return r.baseLatency
+	}
+	return r.baseLatency * f.slowedBy(r)
+}
+
 func (f *fakeTarget) used() jobkeeper.Resources {
 	var sum jobkeeper.Resources
 	for _, r := range f.runs {
--- a/pkg/orchestrator/world_test.go
+++ b/pkg/orchestrator/world_test.go
@@ -40,11 +40,14 @@
 	gangCheckpoints map[runKey]string
 	gangTimeouts    int // runs that ended because other members of their gang did not start
 	// cancelled jobs must not start again.
-	cancelled    map[string]bool
-	storeDown    bool
-	vmListDown   bool          // the list of VMs can't be read
-	clockOffset  time.Duration // of the clock of the owner's daemon
-	vmOrdersLost bool          // orders for VMs are neither carried out nor answered
+	cancelled map[string]bool
+	storeDown bool
+	// ignoreInterference is passed to the engine.
+	ignoreInterference bool
+	observer           orchestrator.Observer // may be nil
+	vmListDown         bool                  // the list of VMs can't be read
+	clockOffset        time.Duration         // of the clock of the owner's daemon
+	vmOrdersLost       bool                  // orders for VMs are neither carried out nor answered
 	// vmListInterval is the time between two lists of VMs; a move takes moveTime.
 	vmListInterval time.Duration
 	moveTime       time.Duration
@@ -104,6 +107,9 @@
 		Retention:        time.Minute,
 		Roster:           w.roster,
 		FirstOwner:       len(w.roster) == 0,
+		Observer:         w.observer,
+
+		IgnoreInterference: w.ignoreInterference,
 	})
 	w.engine.Configure(w.conf)
 	for _, id := range sortedKeys(w.jobs) {
@@ -256,6 +262,8 @@
 				Task:    r.task,
 				Run:     r.run,
 				Percent: r.percent,
+
+				Measurement: f.latency(r),
 			})
 		}
 		w.engine.HandleListing(l, w.wall())
--- a/pkg/packer/packer.go
+++ b/pkg/packer/packer.go
@@ -24,6 +24,9 @@
 	// BestEffort is the number of tasks on this target that use only processors left idle by
 	// others.
 	BestEffort int
+	// Interference is the time that the task and those on the target would lose by slowing each
+	// other down, as a fraction of a task's duration.
+	Interference float64
 	// Idle targets run no task.
 	Idle bool
 	// SameStep is the number of tasks on this target that belong to the step of the request.
@@ -49,6 +52,7 @@
 const (
 	remoteWeight     = 4.0 // a remote task takes 1.5 times as long
 	slowWeight       = 8.0
+	disturbedWeight  = remoteWeight
 	interferenceCost = 0.5 // for each latency-sensitive task beside a best-effort one, or the reverse
 	idleTargetCost   = 0.3 // keeps idle targets free, so that their VMs can be moved
 	interruptionCost = 8.0 // a long-running task would be interrupted once more
@@ -104,6 +108,7 @@
 		sum += remoteWeight * (r.RemoteFactor - 1)
 	}
 	sum += slowWeight * (t.Slowdown - 1)
+	sum += disturbedWeight * t.Interference
 	if t.Idle {
 		sum += idleTargetCost
 	}
--- a/pkg/packer/packer_test.go
+++ b/pkg/packer/packer_test.go
@@ -64,6 +64,9 @@
 		{"another rack if the data's is full", request(func(r *packer.Request) { r.Step.Rack = "r2" }), []packer.Target{target("other", 0), with(target("data", 30), func(v *packer.Target) { v.Rack = "r2" })}, "other"},
 		{"best-effort tasks reserve no processors", request(func(r *packer.Request) { r.Step.BestEffort = true }), []packer.Target{with(target("x", 0), func(v *packer.Target) { v.Used.CPUMillis = 32000 })}, "x"},
 		{"best-effort tasks avoid latency-sensitive ones", request(func(r *packer.Request) { r.Step.BestEffort = true }), []packer.Target{with(target("latency-sensitive", 16), func(v *packer.Target) { v.LatencySensitive = 2 }), target("other", 16)}, "other"},
+		{"neighbours that slow it down are avoided", plain, []packer.Target{with(target("disturbed", 28), func(v *packer.Target) { v.Interference = 1 }), target("empty", 0)}, "empty"},
+		{"a small loss opens no idle target", plain, []packer.Target{with(target("disturbed", 16), func(v *packer.Target) { v.Interference = 0.1 }), target("empty", 0)}, "disturbed"},
+		{"neighbours that slow it down are better than a wait", plain, []packer.Target{with(target("disturbed", 16), func(v *packer.Target) { v.Interference = 2 }), target("full", 30)}, "disturbed"},
 		{"latency-sensitive tasks avoid best-effort ones", request(func(r *packer.Request) { r.Step.TailLatencyTargetMS = 50 }), []packer.Target{with(target("best-effort", 16), func(v *packer.Target) { v.BestEffort = 2 }), target("other", 16)}, "other"},
 	}
 	for _, test := range tests {
