orchestrator: durations are learned

Cause: critical paths, objectives and the work that is left rested on the estimates of callers.

Change: pkg/predictor regresses log durations on log estimates by queue, with offsets by kind, team and VM, bounded memory and clipped residuals. pkg/orchestrator/duration.go asks it for tasks and for the longest task of a step, follows the progress of runs, and renews critical path and objective of each occurrence with each plan. The report of a cell carries the figures of each queue for admission and for later owners.

--- a/internal/manager/admission.go
+++ b/internal/manager/admission.go
@@ -44,7 +44,7 @@
 		return 0, false
 	}
 	state := report.queue(a.route.Queue)
-	criticalPath := time.Duration(job.CriticalPathMS()) * time.Millisecond
+	criticalPath := report.durations(a.route.Queue).CriticalPath(job)
 	objective := a.conf.Engine.Queues[a.route.Queue].Objective(criticalPath)
 	useful, retryAfter := sequencer.Admit(sequencer.Arrival{
 		Chain:     criticalPath,
--- a/internal/manager/fleet_view.go
+++ b/internal/manager/fleet_view.go
@@ -43,6 +43,8 @@
 	Configuration storer.Version `cbor:"4,keyasint"`
 	// OverShare holds what teams use that exceed their share in the cell.
 	OverShare map[string]jobkeeper.Resources `cbor:"5,keyasint,omitempty"`
+	// Durations are those that the owner has learned, renewed every publishRefresh.
+	Durations []orchestrator.QueueDurations `cbor:"6,keyasint,omitempty"`
 }
 
 // poolReport is the part of a cell's report on a pool.
@@ -194,6 +196,28 @@
 	return orchestrator.QueueState{}
 }
 
+// durations returns what the owner of the cell has learned of a queue. Without anything learned,
+// the result predicts what callers estimate.
+func (r *cellReport) durations(queue string) orchestrator.QueueDurations {
+	for _, d := range r.Durations {
+		if d.Tasks.Queue == queue {
+			return d
+		}
+	}
+	return orchestrator.QueueDurations{}
+}
+
+// learnedDurations returns what owners have learned, from the last report of each cell.
+func (v *fleetView) learnedDurations() []orchestrator.QueueDurations {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var all []orchestrator.QueueDurations
+	for _, r := range v.reports {
+		all = append(all, r.Durations...)
+	}
+	return all
+}
+
 // pool returns the state of a pool in a cell.
 func (r *cellReport) pool(name string) poolReport {
 	for _, p := range r.Pools {
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -56,6 +56,8 @@
 	versions       map[string]storer.Version       // store versions of keys that only owners write
 	workers        sync.WaitGroup
 	shares         teamShares
+	durations      []orchestrator.QueueDurations // learned ones, as they were reported last
+	durationsAt    time.Duration
 	vmCells        map[string]string // cell of each VM of the fleet; nil before the first list
 	paused         bool              // decisions wait for a newer state of the store
 	ctx            context.Context   // ends with the ownership; for calls that callbacks start
@@ -212,6 +214,7 @@
 		RosterUnknown:     !rosterKnown,
 		FirstOwner:        rosterKnown && len(roster) == 0,
 	})
+	engine.LoadDurations(o.view.learnedDurations())
 	o.mu.Lock()
 	o.engine = engine
 	o.mu.Unlock()
--- a/internal/manager/recorder.go
+++ b/internal/manager/recorder.go
@@ -301,6 +301,10 @@
 		Configuration: o.configRevision,
 		OverShare:     o.overShare(),
 	}
+	if o.durations == nil || now-o.durationsAt >= publishRefresh {
+		o.durations, o.durationsAt = o.engine.Durations(), now
+	}
+	r.Durations = o.durations
 	for i := range r.Queues {
 		r.Queues[i].ExpectedWait = r.Queues[i].ExpectedWait.Round(waitRounding)
 	}
--- a/pkg/orchestrator/attempt.go
+++ b/pkg/orchestrator/attempt.go
@@ -200,7 +200,7 @@
 			if a.phase != phaseRunning || step.BestEffort || !t.contactable(now) {
 				continue
 			}
-			estimate := time.Duration(step.EstimateMS) * time.Millisecond
+			estimate := time.Duration(e.expectedMS(a.task.step)) * time.Millisecond
 			limit := max(stuckMin, time.Duration(stuckFactor*float64(estimate)))
 			stalled := now - a.progressAt
 			if step.LongRunning {
--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -160,8 +160,7 @@
 				p.demand.longRunningMillicores += requested
 			}
 			if !s.step.LongRunning {
-				coreMS, _ := s.remainingWork(now)
-				p.demand.backlogCoreMS += coreMS
+				p.demand.backlogCoreMS += s.forecast.coreMS
 			}
 			if !s.ready() {
 				if j.planned && s.step.Label == "" {
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -25,9 +25,10 @@
 	endedMS        int64
 	finished       int // all occurrences below this number are done
 	occurrences    map[int]*occurrence
-	opened         int // all occurrences below this number were created
+	opened         int           // all occurrences below this number were created
+	lastChain      time.Duration // critical path of the occurrence that was done last
+	lastFirstChain time.Duration // that was expected of it first
 	version        storer.Version
-	criticalPathMS int64
 	docRemoved     bool
 	loadedAt       time.Duration
 	transferring   bool // a transaction that gives it to another cell is under way
@@ -40,21 +41,26 @@
 	number int
 	due    time.Duration // on the engine's clock; the arrival for jobs that run once
 	steps  []*stepState
-	done   int // number of steps that are done
+	done   int           // number of steps that are done
+	chain  time.Duration // expected critical path
+	// firstChain is the critical path that was expected first.
+	firstChain time.Duration
 }
 
 // stepState is a step of an occurrence.
 type stepState struct {
-	job             *job
-	occurrence      *occurrence
-	index           int
-	step            *jobkeeper.Step
-	tasks           []*task
-	done            int
-	remainingPathMS int64 // critical path from the start of this step to the end of the job
-	speed           stepSpeed
-	advice          advice
-	started         bool
+	job           *job
+	occurrence    *occurrence
+	index         int
+	step          *jobkeeper.Step
+	tasks         []*task
+	done          int
+	forecast      forecast
+	longestDoneMS float64 // duration of its longest run that was done
+	incomplete    bool    // longestDoneMS leaves runs out whose start is not known
+	speed         stepSpeed
+	advice        advice
+	started       bool
 	// waitLoggedAt is when a long wait of the step was last logged.
 	waitLoggedAt time.Duration
 }
@@ -91,6 +97,9 @@
 	stopUnlessListed bool
 	percent          int
 	progressAt       time.Duration // when percent last changed
+	rateAt           time.Duration // since when its progress is followed, and from which percentage
+	ratePercent      int
+	endExpectedAt    time.Duration // by its progress; zero if unknown
 	trial            time.Duration // how long from its confirmation no other task may start on the target
 	pace             int
 	paceSentAt       time.Duration
@@ -181,14 +190,13 @@
 		return
 	}
 	j := &job{
-		doc:            doc,
-		created:        created,
-		arrival:        now,
-		loadedAt:       now,
-		state:          jobkeeper.StateQueued,
-		occurrences:    map[int]*occurrence{},
-		version:        version,
-		criticalPathMS: doc.CriticalPathMS(),
+		doc:         doc,
+		created:     created,
+		arrival:     now,
+		loadedAt:    now,
+		state:       jobkeeper.StateQueued,
+		occurrences: map[int]*occurrence{},
+		version:     version,
 	}
 	if age := time.Duration(nowMS-doc.AcceptedMS) * time.Millisecond; age > 0 && age < maxJobAge {
 		j.arrival -= age
@@ -208,10 +216,10 @@
 	j.overShare = e.exceedsShare(doc, now)
 	j.planned = true
 	fresh := created > e.cfg.Fence
+	e.openOccurrences(now, nowMS)
 	if fresh && !doc.Scheduled() && !doc.LongRunning() && !j.overShare {
-		e.pool(e.poolOf(j)).offered.add(doc.WorkMS(), now)
+		e.pool(e.poolOf(j)).offered.add(j.expectedWorkMS(), now)
 	}
-	e.openOccurrences(now, nowMS)
 	if progress != nil {
 		e.applyTaskRecords(j, progress.Tasks, now, nowMS)
 	}
@@ -219,7 +227,8 @@
 		j.markUncertain()
 	}
 	e.cfg.Logger.Info("job loaded", "job", doc.ID, "queue", doc.Queue, "team", doc.Team, "state", j.state,
-		"age_ms", (now - j.arrival).Milliseconds(), "work_ms", doc.WorkMS(), "chain_ms", j.criticalPathMS, "excess", j.overShare)
+		"age_ms", (now - j.arrival).Milliseconds(), "work_ms", doc.WorkMS(), "chain_ms", doc.CriticalPathMS(),
+		"expected_chain_ms", j.chain().Milliseconds(), "excess", j.overShare)
 }
 
 // addStopping adds a job that has ended but may have runs that an earlier owner could not stop.
@@ -289,6 +298,7 @@
 
 // endJob sets the final state of a job and stops its runs.
 func (e *Engine) endJob(j *job, state jobkeeper.State, reason string, now time.Duration, nowMS int64) {
+	objective, first, chain := e.objective(j), j.firstChain(), j.chain()
 	j.state = state
 	j.reason = reason
 	e.active = slices.DeleteFunc(e.active, func(other *job) bool { return other == j })
@@ -297,7 +307,8 @@
 	e.dirty[j.doc.ID] = true
 	e.cfg.Observer.JobEnded(j.doc.Queue, j.doc.Team, string(state), now-j.arrival)
 	e.cfg.Logger.Info("job ended", "job", j.doc.ID, "queue", j.doc.Queue, "state", state, "reason", reason,
-		"took_ms", (now - j.arrival).Milliseconds(), "objective_ms", e.objective(j).Milliseconds(), "waited_ms", j.waited.Milliseconds())
+		"took_ms", (now - j.arrival).Milliseconds(), "objective_ms", objective.Milliseconds(), "waited_ms", j.waited.Milliseconds(),
+		"estimated_chain_ms", j.doc.CriticalPathMS(), "expected_chain_ms", first.Milliseconds(), "chain_ms", chain.Milliseconds())
 	for t := range j.tasks() {
 		t.uncertain = false
 	}
@@ -339,7 +350,7 @@
 	for _, j := range e.active {
 		before := j.opened
 		j.openDue(e.cfg.EarlyStart, now, wallMS)
-		e.markOpened(j, before)
+		e.markOpened(j, before, now)
 	}
 }
 
@@ -350,12 +361,15 @@
 	for j.opened <= number && j.opened < j.doc.Occurrences() {
 		j.open(now, nowMS)
 	}
-	e.markOpened(j, before)
+	e.markOpened(j, before, now)
 }
 
-// markOpened marks the tasks of the occurrences from a number on as uncertain if an earlier owner
-// may have started them.
-func (e *Engine) markOpened(j *job, from int) {
+// markOpened predicts the durations of the occurrences from a number on, and marks their tasks as
+// uncertain if an earlier owner may have started them.
+func (e *Engine) markOpened(j *job, from int, now time.Duration) {
+	for number := from; number < j.opened; number++ {
+		e.predict(j.occurrences[number], now)
+	}
 	if !e.takingOver || j.created > e.cfg.Fence || j.state.Ended() {
 		return
 	}
@@ -379,14 +393,12 @@
 	if j.doc.Scheduled() {
 		o.due = now + time.Duration(j.doc.DueMS(j.opened)-wallMS)*time.Millisecond
 	}
-	after := j.doc.CriticalPathsMS()
 	for i := range j.doc.Steps {
 		s := &stepState{
-			job:             j,
-			occurrence:      o,
-			index:           i,
-			step:            &j.doc.Steps[i],
-			remainingPathMS: after[i],
+			job:        j,
+			occurrence: o,
+			index:      i,
+			step:       &j.doc.Steps[i],
 		}
 		count := s.step.Count
 		for n := range count {
@@ -451,7 +463,7 @@
 
 // objective returns the time within which a job should end.
 func (e *Engine) objective(j *job) time.Duration {
-	return e.queueOf(j).Objective(time.Duration(j.criticalPathMS) * time.Millisecond)
+	return e.queueOf(j).Objective(j.chain())
 }
 
 // queueOf returns the queue of the job as it is configured now or, while it is not configured, as
--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -77,6 +77,7 @@
 		a.progressAt = now
 	}
 	a.percent = r.Percent
+	a.noteProgress(r.Percent, now)
 	a.measurement = r.Measurement
 	if a.stopUnlessListed && a.stoppedAt == 0 && !a.task.done {
 		e.withdrawStop(a, "target lists the run")
@@ -169,6 +170,9 @@
 		return
 	}
 	e.cfg.Logger.Debug("run ended", "task", end.Task.String(), "run", end.Run, "target", t.ID, "how", end.How)
+	if end.How == EndDone {
+		e.learnDuration(a, now)
+	}
 	e.recordEnd(a.task, t, end, now, nowMS)
 	e.endAttempt(a, end.How, end.Checkpoint, now)
 }
@@ -274,6 +278,7 @@
 	if s.done < len(s.tasks) {
 		return
 	}
+	e.learnStep(s)
 	s.occurrence.done++
 	if s.occurrence.done < len(s.occurrence.steps) {
 		return
@@ -297,6 +302,8 @@
 		if o == nil || o.done < len(o.steps) {
 			break
 		}
+		e.predict(o, now)
+		j.lastChain, j.lastFirstChain = o.chain, o.firstChain
 		delete(j.occurrences, j.finished)
 		j.finished++
 	}
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -142,6 +142,7 @@
 	pools            map[string]*pool
 	usage            map[string]jobkeeper.Resources // reserved by runs, by team
 	teamBuckets      map[string]*tokenBucket        // by team
+	durations        durations
 	runs             uint64
 	orders           []Order
 	adviceWanted     []adviceWish
@@ -199,6 +200,7 @@
 		pools:       map[string]*pool{},
 		usage:       map[string]jobkeeper.Resources{},
 		teamBuckets: map[string]*tokenBucket{},
+		durations:   newDurations(),
 		dirty:       map[string]bool{},
 		given:       map[string]givenJob{},
 		lapses:      map[string]lapse{},
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -25,6 +25,9 @@
 		if j.doc.LongRunning() {
 			continue
 		}
+		for _, o := range j.occurrences {
+			e.predict(o, now)
+		}
 		name := e.poolOf(j)
 		works[name] = append(works[name], e.work(j, now))
 	}
@@ -80,42 +83,14 @@
 		OverShare: j.overShare,
 		Due:       j.arrival + e.objective(j) - now,
 	}
-	first := j.occurrences[j.finished]
-	if first != nil {
-		w.Due = first.due + e.objective(j) - now
+	if first := j.current(); first != nil {
+		w.Due = first.due + e.objectiveOf(first) - now
+		w.Chain = first.left()
 	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			coreMS, path := s.remainingWork(now)
-			w.CoreMS += coreMS
-			if o == first {
-				w.Chain = max(w.Chain, path)
-			}
+			w.CoreMS += s.forecast.coreMS
 		}
 	}
 	return w
 }
-
-// remainingWork returns the work of a step that is left, in core-milliseconds, and the
-// critical path from its unfinished tasks to the end of the job.
-func (s *stepState) remainingWork(now time.Duration) (int64, time.Duration) {
-	if s.done == len(s.tasks) {
-		return 0, 0
-	}
-	var sum, longest int64
-	for _, t := range s.tasks {
-		if t.done {
-			continue
-		}
-		left := s.step.EstimateMS
-		for _, a := range t.attempts {
-			if a.phase == phaseRunning && a.confirmedAt > 0 {
-				left = max(left/10, min(left, left-(now-a.confirmedAt).Milliseconds()))
-			}
-		}
-		sum += left
-		longest = max(longest, left)
-	}
-	chain := s.remainingPathMS - s.step.EstimateMS + longest
-	return sum * s.step.Needs.CPUMillis / 1000, time.Duration(chain) * time.Millisecond
-}
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -108,14 +108,14 @@
 // candidate describes a step to the sequencer.
 func (e *Engine) candidate(s *stepState, now time.Duration) sequencer.Candidate {
 	j := s.job
-	due := s.occurrence.due + e.objective(j)
+	due := s.occurrence.due + e.objectiveOf(s.occurrence)
 	return sequencer.Candidate{
 		LongRunning: s.step.LongRunning && !s.step.BestEffort,
 		Planned:     j.planned,
 		OverShare:   j.overShare,
 		Started:     j.started,
 		Priority:    e.queueOf(j).Priority,
-		Slack:       due - now - time.Duration(s.remainingPathMS)*time.Millisecond,
+		Slack:       due - now - s.forecast.path(),
 		Arrival:     s.occurrence.due,
 	}
 }
