--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -82,6 +82,7 @@
 		a.progressAt = now
 	}
 	a.percent = r.Percent
+	a.noteProgress(r.Percent, now)
 	a.measurement = r.Measurement
 	if a.stopUnlessListed && a.stoppedAt == 0 && !a.task.done {
 		e.withdrawStop(a, "target lists the run")
@@ -177,6 +178,7 @@
 	if end.How == EndDone {
 		e.observeRun(a, true, now)
 		e.reportSlowed(a, now)
+		e.learnDuration(a, now)
 	}
 	e.recordEnd(a.task, t, end, now, nowMS)
 	e.endAttempt(a, end.How, end.Checkpoint, now)
@@ -283,6 +285,7 @@
 	if s.done < len(s.tasks) {
 		return
 	}
+	e.learnStep(s)
 	s.occurrence.done++
 	if s.occurrence.done < len(s.occurrence.steps) {
 		return
@@ -306,6 +309,8 @@
 		if o == nil || o.done < len(o.steps) {
 			break
 		}
+		e.predict(o, now)
+		j.lastChain, j.lastFirstChain = o.chain, o.firstChain
 		delete(j.occurrences, j.finished)
 		j.finished++
 	}
