--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -215,6 +215,7 @@
 		FirstOwner:        rosterKnown && len(roster) == 0,
 	})
 	engine.LoadDurations(o.view.learnedDurations())
+	engine.RestoreForecast(o.view.forecast(o.cell), o.cfg.Clock(), o.cfg.UnixMS())
 	o.mu.Lock()
 	o.engine = engine
 	o.mu.Unlock()
--- a/internal/manager/recorder.go
+++ b/internal/manager/recorder.go
@@ -300,6 +300,7 @@
 		Queues:        o.engine.QueueStates(now),
 		Configuration: o.configRevision,
 		OverShare:     o.overShare(),
+		Forecast:      o.engine.ForecastState(now, o.cfg.UnixMS()),
 	}
 	if o.durations == nil || now-o.durationsAt >= publishRefresh {
 		o.durations, o.durationsAt = o.engine.Durations(), now
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -63,6 +63,7 @@
 	r.JobEnded("quotes", "", "complete", time.Second)
 	r.TaskOrder("start", "ok")
 	r.TaskEnd("desk", "done")
+	r.VMsAhead("desk", 1)
 	r.VMOrder("move", "ok")
 	r.StoreDuration("commit", "ok", time.Millisecond)
 	r.CallerRefused("callers", "memory")
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -225,7 +225,7 @@
 	fresh := created > e.cfg.Fence
 	e.openOccurrences(now, nowMS)
 	if fresh && !doc.Scheduled() && !doc.LongRunning() && !j.overShare {
-		e.pool(e.poolOf(j)).offered.add(j.expectedWorkMS(), now)
+		e.recordArrival(j, now)
 	}
 	if progress != nil {
 		e.applyTaskRecords(j, progress.Tasks, now, nowMS)
--- a/pkg/orchestrator/observer.go
+++ b/pkg/orchestrator/observer.go
@@ -25,6 +25,8 @@
 	// TaskKeptApart is called when a task starts on another target than it would have without
 	// regard to interference.
 	TaskKeptApart(pool string)
+	// VMsAhead is called with the number of VMs that are ordered for the forecast of a pool.
+	VMsAhead(pool string, n int)
 }
 
 type nopObserver struct{}
@@ -35,6 +37,7 @@
 func (nopObserver) VMOrder(string, string)                         {}
 func (nopObserver) TaskEnd(string, string)                         {}
 func (nopObserver) TaskKeptApart(string)                           {}
+func (nopObserver) VMsAhead(string, int)                           {}
 
 // PoolState is the state of a pool, for metrics. Usable counts targets that may get new
 // work; the other amounts are in thousandths of a core.
@@ -42,6 +45,10 @@
 	Pool                                   string
 	Usable                                 int
 	Capacity, Busy, Waiting, Late, Offered int64
+	// Forecast is the load that is expected until a VM that is ordered now arrives, and
+	// ForecastError its relative error. Both are zero if no cycle is known.
+	Forecast      int64
+	ForecastError float64
 }
 
 // Usage returns what the runs of each team reserve, including tasks that may be running on
@@ -102,6 +109,9 @@
 			Waiting:  p.demand.waitingMillicores,
 			Late:     p.demand.lateMillicores,
 			Offered:  int64(p.offered.rate(now)),
+
+			Forecast:      p.forecast.arriving,
+			ForecastError: p.forecast.err,
 		})
 	}
 	return states
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -158,6 +158,7 @@
 	roster           roster
 	fleet            *fleet
 	moves            movePlan
+	loadForecast     *loadForecast
 	plannedAt        time.Duration
 	sweptAt          time.Duration
 	uncertainByTeam  map[string]jobkeeper.Resources // cached for the duration of a Tick
@@ -185,7 +186,9 @@
 	targets []*target
 	demand  demand
 	offered offeredLoad
-	speed   poolSpeed
+	// forecast is the load that is expected of a recurring one.
+	forecast poolForecast
+	speed    poolSpeed
 	// gangReserved is true if room is kept for a gang in the present round, gangChecks is how
 	// many were considered.
 	gangReserved bool
@@ -210,6 +213,7 @@
 		lapses:       map[string]lapse{},
 		strayStarts:  map[string][]strayStart{},
 		fleet:        newFleet(),
+		loadForecast: newLoadForecast(),
 		byVM:         map[string]*target{},
 		interference: newInterference(),
 		takingOver:   !cfg.FirstOwner,
