--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -64,6 +64,7 @@
 	r.TaskOrder("start", "ok")
 	r.TaskEnd("desk", "done")
 	r.VMsAhead("desk", 1)
+	r.TaskKeptApart("desk")
 	r.VMOrder("move", "ok")
 	r.StoreDuration("commit", "ok", time.Millisecond)
 	r.CallerRefused("callers", "memory")
