drainer: fewer looks at the budget, segments are used again

Change: one look for each phase of a request, none for bodies that came with the header and for small answers; segments are pooled. ReadBody has tests of its own.

--- a/internal/coordinator/servers.go
+++ b/internal/coordinator/servers.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"net/http/pprof"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -47,6 +48,7 @@
 		MemoryBytes: s.MemoryLimitBytes,
 		Files:       s.DescriptorLimit,
 	}
+	debug.SetMemoryLimit(limits.CollectorBytes())
 	byName := map[string]*drainer.Server{}
 	for _, h := range []struct {
 		address string
--- /dev/null
+++ b/internal/drainer/budget_test.go
@@ -0,0 +1,123 @@
+package drainer
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/comfreyford/comfreyford/pkg/budgeter"
+)
+
+// startBudgeted starts a server whose handler answers with the body that it has read.
+func startBudgeted(t *testing.T, budget budgeter.Config, limit int64) *Server {
+	t.Helper()
+	s, err := New("127.0.0.1:0", Config{
+		Budget: budget,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			data, err := ReadBody(w, r, limit)
+			var tooLarge *http.MaxBytesError
+			switch {
+			case errors.Is(err, budgeter.ErrNoRoom):
+				Refuse(w)
+			case errors.As(err, &tooLarge):
+				w.WriteHeader(http.StatusRequestEntityTooLarge)
+			case err != nil:
+				w.WriteHeader(http.StatusBadRequest)
+			default:
+				w.Write(data) //nolint:errcheck // the caller reports it
+			}
+		}),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	serving := make(chan error, 1)
+	go func() { serving <- s.Serve() }()
+	t.Cleanup(func() {
+		if err := errors.Join(s.Close(), <-serving); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+// post sends a body, chunked if its length is not stated.
+func post(t *testing.T, s *Server, body string, chunked bool) (status int, answer string) {
+	t.Helper()
+	var source io.Reader = strings.NewReader(body)
+	if chunked {
+		source = io.NopCloser(source)
+	}
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{
+		Transport: transport,
+	}
+	res, err := client.Post("http://"+s.Address().String(), "text/plain", source)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res.StatusCode, string(data)
+}
+
+// Guards against bodies that are cut or mixed up where segments meet, and against a limit that is
+// off by one.
+func TestReadBodyReturnsTheWholeBody(t *testing.T) {
+	const limit = 3 * segment
+	s := startBudgeted(t, budgeter.Limits{}.Callers(), limit)
+	for _, size := range []int{0, 1, segment - 1, segment, segment + 1, 2*segment + 7, limit, limit + 1} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d bytes, chunked %t", size, chunked), func(t *testing.T) {
+				var b strings.Builder
+				for i := range size {
+					b.WriteByte(byte('a' + i%23))
+				}
+				status, answer := post(t, s, b.String(), chunked)
+				switch {
+				case size > limit && status != http.StatusRequestEntityTooLarge:
+					t.Errorf("status %d for a body beyond the limit", status)
+				case size <= limit && (status != http.StatusOK || answer != b.String()):
+					t.Errorf("status %d, %d bytes of answer", status, len(answer))
+				}
+			})
+		}
+	}
+	if held := s.Usage().Bytes; held != 0 {
+		t.Errorf("%d bytes are held after the last answer", held)
+	}
+}
+
+// Guards against a refusal that comes only when the caller has sent a body that nobody reads, and
+// against one that does not say when to come back.
+func TestRefusalComesBeforeTheBody(t *testing.T) {
+	s := startBudgeted(t, budgeter.Config{
+		Bytes:       1 << 20,
+		Connections: 10,
+	}, 16<<20)
+	conn, err := net.Dial("tcp", s.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck // ends with the test
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900000\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") != "1" || !res.Close {
+		t.Errorf("status %d, Retry-After %q, closes %t", res.StatusCode, res.Header.Get("Retry-After"), res.Close)
+	}
+}
--- a/internal/drainer/connection.go
+++ b/internal/drainer/connection.go
@@ -1,12 +1,12 @@
 package drainer
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +27,9 @@
 // bodyCopies is how often a body is held that the handler reads into a growing buffer.
 const bodyCopies = 3
 
+// smallWrite is the size of an answer that needs no progress of its caller to be noted.
+const smallWrite = 4 << 10
+
 // phase is the part of a request that a connection is in.
 type phase int32
 
@@ -43,6 +46,9 @@
 	holder *budgeter.Holder[*connection]
 	phase  atomic.Int32
 	shed   atomic.Bool
+	// readsBody is true while the handler reads the body, and ended when the last handler returned.
+	readsBody atomic.Bool
+	ended     time.Time
 }
 
 // budgetedListener accepts the connections that the budget of its server has room for.
@@ -109,6 +115,10 @@
 
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
+	// While the handler works, net/http reads as well, to notice that the caller has gone.
+	if c.readsBody.Load() {
+		c.server.budget.Wait(c.holder, budgeter.WaitingForCaller, time.Now())
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.received(n)
@@ -123,21 +133,26 @@
 func (c *connection) received(n int) {
 	now := time.Now()
 	budget := c.server.budget
-	if phase(c.phase.Load()) != phaseHeader {
+	switch {
+	case phase(c.phase.Load()) == phaseHeader:
+		ok, shed := budget.Receive(c.holder, n, now)
+		c.server.close(shed, ReasonShed)
+		if !ok && !c.shed.Swap(true) {
+			c.server.refused(ReasonMemory, hostOf(c.RemoteAddr()))
+		}
+	case c.readsBody.Load():
+		budget.Progress(c.holder, n, now)
+		budget.Wait(c.holder, budgeter.WaitingForWork, now)
+	default:
 		budget.Progress(c.holder, n, now)
-		return
-	}
-	budget.Wait(c.holder, budgeter.WaitingForCaller, now)
-	budget.Progress(c.holder, n, now)
-	ok, shed := budget.Reserve(c.holder, int64(n)*budgeter.HeaderCost, now)
-	c.server.close(shed, ReasonShed)
-	if !ok && !c.shed.Swap(true) {
-		c.server.refused(ReasonMemory, hostOf(c.RemoteAddr()))
 	}
 }
 
 // Write implements net.Conn.
 func (c *connection) Write(p []byte) (int, error) {
+	if phase(c.phase.Load()) == phaseRest && len(p) <= smallWrite {
+		return c.Conn.Write(p) // end has noted that the process waits for the caller
+	}
 	now := time.Now()
 	budget := c.server.budget
 	budget.Wait(c.holder, budgeter.WaitingForCaller, now)
@@ -184,17 +199,17 @@
 // end notes that the handler has returned.
 func (c *connection) end() {
 	c.phase.Store(int32(phaseRest))
-	c.server.budget.Release(c.holder)
-	c.server.budget.Wait(c.holder, budgeter.WaitingForCaller, time.Now())
+	c.ended = time.Now()
+	c.server.budget.End(c.holder, c.ended)
 }
 
 // idle notes that the process waits for the next request.
 func (c *connection) idle() {
 	c.phase.Store(int32(phaseHeader))
-	c.server.budget.Wait(c.holder, budgeter.WaitingForRequest, time.Now())
+	c.server.budget.Wait(c.holder, budgeter.WaitingForRequest, c.ended)
 }
 
-// body is the body of a request, whose caller has to make progress while it is read.
+// body is the body of a request, for which room is reserved as it is read.
 type body struct {
 	io.ReadCloser
 	connection *connection
@@ -203,10 +218,8 @@
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	budget := b.connection.server.budget
-	budget.Wait(b.connection.holder, budgeter.WaitingForCaller, time.Now())
+	defer b.connection.readBody()()
 	n, err := b.ReadCloser.Read(p)
-	budget.Wait(b.connection.holder, budgeter.WaitingForWork, time.Now())
 	if held := min(int64(n), b.unreserved); held > 0 {
 		b.unreserved -= held
 		if err := b.connection.reserve(held * bodyCopies); err != nil {
@@ -216,6 +229,12 @@
 	return n, err
 }
 
+// readBody notes that the handler reads the body, until the returned function is called.
+func (c *connection) readBody() func() {
+	c.readsBody.Store(true)
+	return func() { c.readsBody.Store(false) }
+}
+
 type connectionKey struct{}
 
 // Reserve reserves n bytes until the request of the context is answered. It returns
@@ -249,6 +268,9 @@
 // segment is how much of a body without a stated length is reserved and read at a time.
 const segment = 16 << 10
 
+// segmentPool holds segments, so that bodies that are refused halfway leave no garbage.
+var segmentPool = sync.Pool{New: func() any { return new([segment]byte) }}
+
 // ReadBody reads the body of a request, for which it reserves room first. The error is
 // budgeter.ErrNoRoom,
 // an *http.MaxBytesError if the body exceeds limit, or that of the connection.
@@ -260,6 +282,9 @@
 		}
 	}
 	source := http.MaxBytesReader(w, r.Body, limit)
+	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+		defer c.readBody()()
+	}
 	if r.ContentLength >= 0 {
 		if err := Reserve(r.Context(), r.ContentLength); err != nil {
 			return nil, err
@@ -268,47 +293,55 @@
 		_, err := io.ReadFull(source, data)
 		return data, err
 	}
-	var segments [][]byte
+	return readSegments(r.Context(), source)
+}
+
+// readSegments reads a body without a stated length.
+func readSegments(ctx context.Context, source io.Reader) ([]byte, error) {
+	var segments []*[segment]byte
+	defer func() {
+		for _, s := range segments {
+			segmentPool.Put(s)
+		}
+	}()
 	total := 0
-	for {
-		if err := Reserve(r.Context(), segment); err != nil {
+	for complete := false; !complete; {
+		if err := Reserve(ctx, segment); err != nil {
 			return nil, err
 		}
-		data, complete, err := readSegment(source)
-		if err != nil {
+		s := segmentPool.Get().(*[segment]byte)
+		segments = append(segments, s)
+		var n int
+		var err error
+		if n, complete, err = fill(s, source); err != nil {
 			return nil, err
 		}
-		segments = append(segments, data)
-		total += len(data)
-		if complete {
-			break
-		}
+		total += n
 	}
-	if len(segments) == 1 {
-		return segments[0], nil
-	}
-	if err := Reserve(r.Context(), int64(total)); err != nil {
+	if err := Reserve(ctx, int64(total)); err != nil {
 		return nil, err
 	}
-	return bytes.Join(segments, nil), nil
+	data := make([]byte, 0, total)
+	for _, s := range segments {
+		data = append(data, s[:min(segment, total-len(data))]...)
+	}
+	return data, nil
 }
 
-// readSegment reads a segment, and tells whether the body ends with it.
-func readSegment(source io.Reader) (data []byte, complete bool, err error) {
-	data = make([]byte, segment)
-	n := 0
+// fill reads a segment, and tells whether the body ends with it.
+func fill(s *[segment]byte, source io.Reader) (n int, complete bool, err error) {
 	for n < segment {
-		read, err := source.Read(data[n:])
+		read, err := source.Read(s[n:])
 		n += read
 		// Not errors.Is: a wrapped io.EOF means that the body is incomplete.
 		if err == io.EOF {
-			return data[:n], true, nil
+			return n, true, nil
 		}
 		if err != nil {
-			return nil, false, err
+			return n, false, err
 		}
 	}
-	return data, false, nil
+	return n, false, nil
 }
 
 func hostOf(address net.Addr) string {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -150,7 +150,7 @@
 		s.refuse(w)
 		return
 	}
-	if r.Body != http.NoBody {
+	if s.heldBody > 0 && r.Body != http.NoBody {
 		// net/http looks at the body of its own request when the handler has returned.
 		wrapped := *r
 		wrapped.Body = &body{
--- a/internal/loader/table.go
+++ b/internal/loader/table.go
@@ -86,7 +86,7 @@
 		// The key-value service stores values of up to 1 MB; half of that leaves room for the record.
 		byteLimitKey("journal_body_limit", 512<<10, 1<<10, 512<<10, "body of a deferrable or non-idempotent request, which the journal keeps", func(s *Settings) *int64 { return &s.JournalBodyLimitBytes }),
 		byteLimitKey("operator_body_limit", 1<<20, 64<<10, 16<<20, "body of a request of an operator", func(s *Settings) *int64 { return &s.OperatorBodyLimitBytes }),
-		byteLimitKey("memory_limit", 1<<30, 64<<20, 1<<40, "memory of the VM; an eighth of it is for requests under way", func(s *Settings) *int64 { return &s.MemoryLimitBytes }),
+		byteLimitKey("memory_limit", 1<<30, 64<<20, 1<<40, "memory of the VM; an eighth is for requests under way, three eighths bound the collector", func(s *Settings) *int64 { return &s.MemoryLimitBytes }),
 		countLimitKey("descriptor_limit", 16_384, 256, 1<<20, "descriptors of the process; a third of those above 200 is for connections of callers", func(s *Settings) *int64 { return &s.DescriptorLimit }),
 	}
 }
--- a/pkg/budgeter/budgeter.go
+++ b/pkg/budgeter/budgeter.go
@@ -167,6 +167,10 @@
 func (b *Budget[C]) Reserve(h *Holder[C], n int64, now time.Time) (ok bool, shed []*Holder[C]) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.reserve(h, n, now)
+}
+
+func (b *Budget[C]) reserve(h *Holder[C], n int64, now time.Time) (ok bool, shed []*Holder[C]) {
 	if h.removed {
 		return false, nil
 	}
@@ -203,10 +207,33 @@
 	b.usage.Bytes += n
 }
 
+// Receive notes that a caller has sent n bytes of a header, and reserves what they become when they
+// are decoded.
+func (b *Budget[C]) Receive(h *Holder[C], n int, now time.Time) (ok bool, shed []*Holder[C]) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wait(h, WaitingForCaller, now)
+	b.progress(h, n, now)
+	return b.reserve(h, int64(n)*HeaderCost, now)
+}
+
+// End frees what a holder has reserved: its request is handled. The process waits for the caller to
+// take the answer.
+func (b *Budget[C]) End(h *Holder[C], now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.release(h)
+	b.wait(h, WaitingForCaller, now)
+}
+
 // Release frees what a holder has reserved: its request is answered.
 func (b *Budget[C]) Release(h *Holder[C]) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.release(h)
+}
+
+func (b *Budget[C]) release(h *Holder[C]) {
 	if !h.removed {
 		b.add(h, -h.bytes)
 	}
@@ -215,12 +242,10 @@
 // Begin sets what a holder has reserved for a new request, of which the caller has sent the header.
 func (b *Budget[C]) Begin(h *Holder[C], n int64, now time.Time) (ok bool, shed []*Holder[C]) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	h.waiting, h.left = WaitingForWork, b.cfg.Window
-	if !h.removed {
-		b.add(h, -h.bytes)
-	}
-	b.mu.Unlock()
-	return b.Reserve(h, n, now)
+	b.release(h)
+	return b.reserve(h, n, now)
 }
 
 // Wait notes what the process waits for on a connection from now on. The time in which it waits for
@@ -228,6 +253,10 @@
 func (b *Budget[C]) Wait(h *Holder[C], w Waiting, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.wait(h, w, now)
+}
+
+func (b *Budget[C]) wait(h *Holder[C], w Waiting, now time.Time) {
 	switch {
 	case w == h.waiting:
 		return
@@ -245,6 +274,10 @@
 func (b *Budget[C]) Progress(h *Holder[C], n int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.progress(h, n, now)
+}
+
+func (b *Budget[C]) progress(h *Holder[C], n int, now time.Time) {
 	h.deadline = h.deadline.Add(time.Duration(n) * time.Second / time.Duration(b.cfg.MinRate))
 	if latest := now.Add(b.cfg.Window); h.deadline.After(latest) {
 		h.deadline = latest
--- a/pkg/budgeter/limits.go
+++ b/pkg/budgeter/limits.go
@@ -53,6 +53,13 @@
 	return l
 }
 
+// CollectorBytes returns the memory limit for Go's collector. The program's own pages come on top;
+// half of the VM's memory is left for the kernel's buffers and for other processes.
+func (l Limits) CollectorBytes() int64 {
+	const collectorShare = 0.375
+	return int64(collectorShare * float64(l.known().MemoryBytes))
+}
+
 // Callers returns the budget for the callers of a process with the limits.
 func (l Limits) Callers() Config {
 	l = l.known()
