attributor: each run is compared with itself

Change: what a run shows is compared with what it showed before its neighbours changed, in place of a level of its kind and terms of target and step. Effects are at least none. The fake target of the orchestrator's tests reported a progress that slowed down over a run of constant speed; it reports the work done now.

With the check for a second target off, TestPairSeenOnOneTargetIsNotBlamed fails (it plays five minutes now, the former one passed either way).

--- a/pkg/attributor/attributor.go
+++ b/pkg/attributor/attributor.go
@@ -2,13 +2,12 @@
 // run on the same target.
 //
 // It answers the load of targets that run tasks of several kinds at once, some of which disturb
-// others by amounts that change within seconds, while targets and estimates of durations differ
-// for reasons of their own. The logarithm of what a task shows (its duration relative to the
-// estimate, or its tail latency relative to its target) is modelled as a sum: the usual level of
-// its kind, terms of its target and its step, and an effect of each kind of neighbour, weighted
-// by how much of that kind runs beside it. A Kalman filter without covariances divides the
-// difference between an observation and that sum by how uncertain each part is. Without new
-// observations each part returns to its prior, so that old evidence fades.
+// others by amounts that change within seconds, while targets differ and estimates of durations
+// are wrong. Each run is therefore compared with itself: when its neighbours change, the change of
+// what it shows (its duration for some progress, or its tail latency) is divided among the kinds
+// that came or went, by how uncertain the effect of each is. Long tasks that often run beside some
+// kind, slow targets and wrong estimates so count against nobody. The estimates are those of a
+// Kalman filter without covariances; an effect becomes uncertain again without new observations.
 //
 // An Attributor does no I/O, reads no clock and is not safe for concurrent use. Its memory is
 // bounded by Config.MaxKinds.
@@ -16,6 +15,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -27,8 +27,8 @@
 	kindMemory = 30 * time.Second
 	// confidence is the number of standard deviations by which an effect has to exceed what is
 	// tolerated to be confirmed, doubt the number below which it no longer is.
-	confidence = 3.2
-	doubt      = 2.5
+	confidence = 2.8
+	doubt      = 2.2
 	// tolerated is the factor up to which an effect counts as none.
 	tolerated = 1.05
 	// targetMemory is how old the observation of a pair on a second target may be. A pair that was
@@ -36,39 +36,24 @@
 	targetMemory = 20 * time.Second
 	// initialNoise, minNoise and maxNoise are variances of an observation, in squares of a natural
 	// logarithm.
-	initialNoise = 0.09
+	initialNoise = 0.16
 	minNoise     = 0.03
 	maxNoise     = 1.0
 	// noiseWeight is the weight of the latest observation in the estimate of the noise.
 	noiseWeight = 0.02
 	// maxDeviations bounds the innovation of one observation, in standard deviations.
 	maxDeviations = 3
-	// minExposure is the share of a task below which a neighbour is left out of an observation.
-	minExposure = 0.05
-)
-
-// The priors of the parts of the model.
-var (
-	levelPrior = prior{
-		variance: 1,
-		drift:    0.002,
-		memory:   10 * time.Minute,
-	}
-	targetPrior = prior{
-		variance: 0.25,
-		drift:    0.005,
-		memory:   time.Minute,
-	}
-	stepPrior = prior{
-		variance: 0.5,
-		drift:    0.005,
-		memory:   time.Minute,
-	}
-	effectPrior = prior{
-		variance: 0.16,
-		drift:    0.005,
-		memory:   5 * time.Minute,
-	}
+	// minChange is the change of a neighbour's weight below which it does not count.
+	minChange = 0.1
+	// baselineObservations bounds the observations with which a run is compared, so that those of
+	// a long-running task that has changed its load count for some seconds only.
+	baselineObservations = 8
+	// An effect is expected to be none, within priorVariance. driftVariance is by how much its
+	// variance grows per second, effectMemory the time in which it returns to none without
+	// observations.
+	priorVariance = 0.3
+	driftVariance = 0.003
+	effectMemory  = 5 * time.Minute
 )
 
 // Kind names tasks that behave alike, such as those of one image.
@@ -89,18 +74,30 @@
 	Exposure float64
 }
 
-// Observation is what one task showed.
+// Observation is what one run showed since the last one.
 type Observation struct {
-	Kind       Kind
-	Target     string
-	TargetTerm *Term // kept by the caller with the target
-	StepTerm   *Term // kept by the caller with the step
-	// Ratio is the duration relative to the estimate, or the tail latency relative to its target;
-	// above zero.
+	Kind     Kind
+	Target   string
+	Baseline *Baseline // kept by the caller with the run
+	// Ratio is the time that the run took relative to the estimate for its progress, or its tail
+	// latency relative to its target; above zero.
 	Ratio      float64
 	Neighbours []Neighbour
 }
 
+// Baseline is what a run showed so far, and beside what. The zero value is that of a new run.
+type Baseline struct {
+	n       float64
+	mean    float64 // of the logarithms of the ratios
+	weights []weight
+}
+
+// weight is the mean weight of a kind of neighbours.
+type weight struct {
+	kind Kind
+	mean float64
+}
+
 // Weight returns the part of an effect that an exposure has. The first task of a kind adds the most:
 // several together disturb at most half as much again, in logarithms, as one.
 func Weight(exposure float64) float64 {
@@ -118,46 +115,11 @@
 	Confirmed bool    // it exceeds what is tolerated, and not on one target only
 }
 
-// prior describes a part of the model before any observation: its expected square, by how much
-// that grows per second, and the time in which the part returns to zero.
-type prior struct {
-	variance float64
-	drift    float64
-	memory   time.Duration
-}
-
-// Term is an estimate of one part of the model. The zero value is its prior.
-type Term struct {
-	mean, variance float64
-	at             time.Duration
-	known          bool
-}
-
-// advance moves the estimate to the present time.
-func (t *Term) advance(p prior, now time.Duration) {
-	if !t.known {
-		t.known, t.variance, t.at = true, p.variance, now
-		return
-	}
-	if now <= t.at {
-		return
-	}
-	t.mean *= math.Exp(-float64(now-t.at) / float64(p.memory))
-	t.variance = min(p.variance, t.variance+p.drift*(now-t.at).Seconds())
-	t.at = now
-}
-
-// update corrects the estimate by its part of an innovation. total is the variance of the
-// innovation.
-func (t *Term) update(weight, innovation, total float64) {
-	gain := t.variance * weight / total
-	t.mean += gain * innovation
-	t.variance -= gain * weight * t.variance
-}
-
 // effect is the estimate for a pair of kinds.
 type effect struct {
-	Term
+	mean, variance float64 // of the logarithm of the factor
+	at             time.Duration
+	known          bool
 	// target and earlier are the targets of the last observation and of the last one elsewhere.
 	target, earlier     string
 	targetAt, earlierAt time.Duration
@@ -168,8 +130,7 @@
 type slot struct {
 	kind   Kind
 	seenAt time.Duration
-	level  Term
-	noise  float64
+	noise  float64 // variance of an observation
 	// effects are those of its neighbours on this kind, by slot.
 	effects []effect
 }
@@ -180,11 +141,11 @@
 	index     map[Kind]int
 	slots     []slot // the first one is shared by kinds without a slot of their own
 	confirmed int
-	scratch   []exposed
+	changes   []change // scratch space
 }
 
-// exposed is a neighbour of the observed task.
-type exposed struct {
+// change is how much more of a kind ran beside a run than before.
+type change struct {
 	effect *effect
 	weight float64
 }
@@ -213,48 +174,114 @@
 	}
 }
 
-// Observe updates the estimates by an observation.
+// Observe updates the estimates by an observation. The first one of a run has nothing to be compared
+// with.
 func (a *Attributor) Observe(o Observation, now time.Duration) {
 	if !(o.Ratio > 0) || math.IsInf(o.Ratio, 0) {
 		return
 	}
+	ratio := math.Log(o.Ratio)
 	s := &a.slots[a.slotFor(o.Kind, now)]
-	s.level.advance(levelPrior, now)
-	o.TargetTerm.advance(targetPrior, now)
-	o.StepTerm.advance(stepPrior, now)
-	expected := s.level.mean + o.TargetTerm.mean + o.StepTerm.mean
-	uncertainty := s.level.variance + o.TargetTerm.variance + o.StepTerm.variance
-	a.scratch = a.scratch[:0]
-	for _, n := range o.Neighbours {
-		if n.Exposure < minExposure {
-			continue
+	b := o.Baseline
+	if b.n > 0 {
+		a.collectChanges(s, b, o.Neighbours, now)
+		// The scale gives the difference from a mean of n observations the variance of one.
+		scale := math.Sqrt(b.n / (b.n + 1))
+		a.update(s, scale*(ratio-b.mean), scale, o.Target, now)
+	}
+	b.add(ratio, o.Neighbours)
+}
+
+// collectChanges sets changes to the kinds of which more or fewer run beside a run than before.
+func (a *Attributor) collectChanges(s *slot, b *Baseline, present []Neighbour, now time.Duration) {
+	a.changes = a.changes[:0]
+	add := func(kind Kind, more float64) {
+		if math.Abs(more) < minChange {
+			return
 		}
-		e := &s.effects[a.slotFor(n.Kind, now)]
-		e.advance(effectPrior, now)
-		weight := Weight(n.Exposure)
-		expected += e.mean * weight
-		uncertainty += e.variance * weight * weight
-		a.scratch = append(a.scratch, exposed{
+		e := &s.effects[a.slotFor(kind, now)]
+		e.advance(now)
+		a.changes = append(a.changes, change{
 			effect: e,
-			weight: weight,
+			weight: more,
 		})
 	}
+	for _, n := range present {
+		add(n.Kind, Weight(n.Exposure)-b.weight(n.Kind))
+	}
+	for _, w := range b.weights {
+		if !slices.ContainsFunc(present, func(n Neighbour) bool { return n.Kind == w.kind }) {
+			add(w.kind, -w.mean)
+		}
+	}
+}
+
+// update corrects the effects of the changes by the difference of a run from its baseline, both of
+// which are scaled.
+func (a *Attributor) update(s *slot, difference, scale float64, target string, now time.Duration) {
+	uncertainty := 0.0
+	for _, c := range a.changes {
+		difference -= scale * c.weight * c.effect.mean
+		uncertainty += scale * c.weight * scale * c.weight * c.effect.variance
+	}
 	total := uncertainty + s.noise
-	innovation := math.Log(o.Ratio) - expected
 	limit := maxDeviations * math.Sqrt(total)
-	innovation = max(-limit, min(limit, innovation))
-	s.level.update(1, innovation, total)
-	o.TargetTerm.update(1, innovation, total)
-	o.StepTerm.update(1, innovation, total)
-	for _, x := range a.scratch {
-		x.effect.update(x.weight, innovation, total)
-		x.effect.observeOn(o.Target, now)
-		a.settle(x.effect, now)
+	difference = max(-limit, min(limit, difference))
+	for _, c := range a.changes {
+		e := c.effect
+		gain := e.variance * scale * c.weight / total
+		e.mean = max(0, e.mean+gain*difference) // no neighbour makes a task faster
+		e.variance -= gain * scale * c.weight * e.variance
+		e.observeOn(target, now)
+		a.settle(e, now)
 	}
-	s.noise += noiseWeight * (innovation*innovation - uncertainty - s.noise)
+	s.noise += noiseWeight * (difference*difference - uncertainty - s.noise)
 	s.noise = max(minNoise, min(maxNoise, s.noise))
 }
 
+// advance moves the estimate to the present time.
+func (e *effect) advance(now time.Duration) {
+	if !e.known {
+		e.known, e.variance, e.at = true, priorVariance, now
+		return
+	}
+	if now <= e.at {
+		return
+	}
+	e.mean *= math.Exp(-float64(now-e.at) / float64(effectMemory))
+	e.variance = min(priorVariance, e.variance+driftVariance*(now-e.at).Seconds())
+	e.at = now
+}
+
+func (b *Baseline) weight(kind Kind) float64 {
+	for _, w := range b.weights {
+		if w.kind == kind {
+			return w.mean
+		}
+	}
+	return 0
+}
+
+// add takes an observation into the means.
+func (b *Baseline) add(ratio float64, present []Neighbour) {
+	b.n = min(baselineObservations, b.n+1)
+	b.mean += (ratio - b.mean) / b.n
+	for i := range b.weights {
+		b.weights[i].mean -= b.weights[i].mean / b.n
+	}
+	for _, n := range present {
+		i := slices.IndexFunc(b.weights, func(w weight) bool { return w.kind == n.Kind })
+		if i < 0 {
+			i = len(b.weights)
+			b.weights = append(b.weights, weight{
+				kind: n.Kind,
+			})
+		}
+		b.weights[i].mean += Weight(n.Exposure) / b.n
+	}
+	b.weights = slices.DeleteFunc(b.weights, func(w weight) bool { return w.mean < minChange/baselineObservations })
+}
+
 // observeOn records on which target the pair was observed.
 func (e *effect) observeOn(target string, now time.Duration) {
 	if e.target != target {
@@ -373,7 +400,7 @@
 }
 
 func (a *Attributor) read(e *effect, now time.Duration) Effect {
-	e.advance(effectPrior, now)
+	e.advance(now)
 	a.settle(e, now)
 	margin := confidence * math.Sqrt(e.variance)
 	return Effect{
--- a/pkg/attributor/attributor_test.go
+++ b/pkg/attributor/attributor_test.go
@@ -26,15 +26,14 @@
 type loadedTarget struct {
 	id    string
 	slow  float64
-	term  attributor.Term
 	tasks []*loadedTask
 }
 
 type loadedTask struct {
-	kind   attributor.Kind
-	term   attributor.Term
-	level  float64 // of its step: estimates are rough
-	endsAt time.Duration
+	kind     attributor.Kind
+	baseline attributor.Baseline
+	level    float64 // estimates are rough
+	endsAt   time.Duration
 }
 
 const (
@@ -107,8 +106,7 @@
 	l.attributor.Observe(attributor.Observation{
 		Kind:       task.kind,
 		Target:     t.id,
-		TargetTerm: &t.term,
-		StepTerm:   &task.term,
+		Baseline:   &task.baseline,
 		Ratio:      ratio,
 		Neighbours: neighbours,
 	}, l.now)
@@ -258,10 +256,10 @@
 
 // Guards against a slow VM for which the only neighbour on it is blamed.
 func TestPairSeenOnOneTargetIsNotBlamed(t *testing.T) {
-	l := newLoad(1, "web", "batch")
+	l := newLoad(1, "web", "batch", "index")
 	l.targets = l.targets[:1]
-	l.effect = disturbing(3)
-	l.run(time.Minute, func() {
+	l.effect = disturbing(2)
+	l.run(5*time.Minute, func() {
 		if l.confirmed("web", "batch") {
 			t.Fatalf("blamed after %v", l.now)
 		}
@@ -288,17 +286,19 @@
 	a := attributor.New(attributor.Config{
 		MaxKinds: 4,
 	})
-	var target, step attributor.Term
+	baselines := map[attributor.Kind]*attributor.Baseline{}
 	observe := func(kind, neighbour attributor.Kind, now time.Duration) {
+		if baselines[kind] == nil {
+			baselines[kind] = &attributor.Baseline{}
+		}
 		a.Observe(attributor.Observation{
-			Kind:       kind,
-			Target:     "t",
-			TargetTerm: &target,
-			StepTerm:   &step,
-			Ratio:      1,
+			Kind:     kind,
+			Target:   "t",
+			Baseline: baselines[kind],
+			Ratio:    1,
 			Neighbours: []attributor.Neighbour{{
 				Kind:     neighbour,
-				Exposure: 1,
+				Exposure: float64(now / (200 * time.Millisecond) % 2),
 			}},
 		}, now)
 	}
@@ -307,6 +307,9 @@
 		if i%20 == 0 {
 			observe("web", "batch", now)
 		}
+		if now < time.Second {
+			continue
+		}
 		observe(attributor.Kind(fmt.Sprintf("invented-%d", i)), attributor.Kind(fmt.Sprintf("invented-%d", i+1)), now)
 		if a.Kinds() > 4 {
 			t.Fatalf("%d kinds are kept", a.Kinds())
@@ -321,13 +324,12 @@
 // Guards against figures that no estimate may take in.
 func TestObservationsThatAreNoDurationsAreIgnored(t *testing.T) {
 	a := attributor.New(attributor.Config{})
-	var target, step attributor.Term
+	var baseline attributor.Baseline
 	for _, ratio := range []float64{0, -1, math.NaN(), math.Inf(1)} {
 		a.Observe(attributor.Observation{
-			Kind:       "web",
-			TargetTerm: &target,
-			StepTerm:   &step,
-			Ratio:      ratio,
+			Kind:     "web",
+			Baseline: &baseline,
+			Ratio:    ratio,
 		}, time.Second)
 	}
 	if a.Kinds() != 0 {
--- a/pkg/orchestrator/interference.go
+++ b/pkg/orchestrator/interference.go
@@ -18,11 +18,13 @@
 // which slow down others. See docs/design/interference.md.
 
 const (
-	// observeInterval is the time between two observations of a run. The reported latencies are
-	// averages over that time.
-	observeInterval = 500 * time.Millisecond
-	// minObserved is the shortest part of a run that is an observation.
-	minObserved = 300 * time.Millisecond
+	// latencyInterval is the time between two observations of a run with a latency target. The
+	// reported latencies are averages over that time.
+	latencyInterval = 500 * time.Millisecond
+	// progressInterval is the time between two observations of the progress of other runs, and
+	// minObserved the shortest part of a run that is observed at its end.
+	progressInterval = 250 * time.Millisecond
+	minObserved      = 150 * time.Millisecond
 	// minObservedPercent is the least progress that is an observation; percentages are rounded.
 	minObservedPercent = 5
 	// maxKindBytes bounds the name of a kind, which callers choose.
@@ -80,13 +82,13 @@
 	return max(0, present) * a.effectivePace(now, paceDelay)
 }
 
-// effectivePace returns the share at which a run worked in the last observeInterval. A change of
+// effectivePace returns the share at which a run worked in the last latencyInterval. A change of
 // its pace takes effect after paceDelay.
 func (a *attempt) effectivePace(now, paceDelay time.Duration) float64 {
 	if a.paceSentAt == 0 {
 		return float64(a.pace) / 100
 	}
-	changed := float64(now-a.paceSentAt-paceDelay) / float64(observeInterval)
+	changed := float64(now-a.paceSentAt-paceDelay) / float64(latencyInterval)
 	changed = max(0, min(1, changed))
 	return (float64(a.paceBefore) + changed*float64(a.pace-a.paceBefore)) / 100
 }
@@ -117,8 +119,11 @@
 // true at its end.
 func (e *Engine) observeRun(a *attempt, done bool, now time.Duration) {
 	since := max(a.observedAt, a.confirmedAt)
-	shortest := observeInterval
-	if done {
+	shortest := progressInterval
+	switch {
+	case a.task.step.step.TailLatencyTargetMS > 0:
+		shortest = latencyInterval
+	case done:
 		shortest = minObserved
 	}
 	if a.confirmedAt == 0 || a.phase != phaseRunning || now-since < shortest {
@@ -134,8 +139,7 @@
 	e.interference.attributor.Observe(attributor.Observation{
 		Kind:       a.task.step.kind,
 		Target:     a.target.ID,
-		TargetTerm: &a.target.interference,
-		StepTerm:   &a.task.step.interference,
+		Baseline:   &a.baseline,
 		Ratio:      ratio,
 		Neighbours: e.neighboursOf(a, since, now),
 	}, now)
--- a/pkg/orchestrator/interference_test.go
+++ b/pkg/orchestrator/interference_test.go
@@ -18,12 +18,17 @@
 	factor func(now time.Duration) float64
 	ignore bool // place tasks without regard to interference
 	rate   float64
+	// misjudged is the standard deviation of the logarithm of a step's duration relative to its
+	// estimate. Wide steps take longer than estimated, as large jobs do.
+	misjudged float64
 }
 
 // mixedResult is what callers got: means over the jobs of an image.
 type mixedResult struct {
 	took, waited map[string]time.Duration
 	incomplete   int
+	starts       int
+	keptApart    int // starts elsewhere than without regard to interference
 }
 
 const (
@@ -37,10 +42,12 @@
 func (l mixedLoad) play(t *testing.T) mixedResult {
 	w := newWorld(t, testConfiguration())
 	w.ignoreInterference = l.ignore
+	observer := &countingObserver{}
+	w.observer = observer
 	for i := range mixedTargets {
 		f := w.addTarget(fmt.Sprintf("t%02d", i), "desk", cores(16))
 		f.slowedBy = func(r *fakeRun) float64 {
-			return noiseOf(r) * f.slowedByBatch(r, l.factor(w.now))
+			return noiseOf(r) * l.misjudgement(r, w.jobs[r.task.Job].Steps[0].Count) * f.slowedByBatch(r, l.factor(w.now))
 		}
 	}
 	w.takeOver()
@@ -87,6 +94,10 @@
 		result.waited[image] /= time.Duration(n)
 	}
 	result.incomplete = len(open)
+	result.keptApart = observer.keptApart
+	for _, n := range w.starts {
+		result.starts += n
+	}
 	return result
 }
 
@@ -115,6 +126,29 @@
 	return math.Exp(0.3 * (2*float64(h.Sum32())/math.MaxUint32 - 1))
 }
 
+// misjudgement returns the factor on the duration of all runs of a step of the given width.
+func (l mixedLoad) misjudgement(r *fakeRun, width int) float64 {
+	if l.misjudged == 0 {
+		return 1
+	}
+	h := fnv.New32a()
+	fmt.Fprint(h, r.task.Job)
+	own := 2*float64(h.Sum32())/math.MaxUint32 - 1
+	wide := (float64(width) - 3.5) / 2.5
+	return math.Exp(l.misjudged * (own + wide))
+}
+
+type countingObserver struct {
+	keptApart int
+}
+
+func (*countingObserver) JobStarted(string, string, time.Duration)       {}
+func (*countingObserver) JobEnded(string, string, string, time.Duration) {}
+func (*countingObserver) TaskOrder(string, string)                       {}
+func (*countingObserver) VMOrder(string, string)                         {}
+func (*countingObserver) TaskEnd(string, string)                         {}
+func (o *countingObserver) TaskKeptApart(string)                         { o.keptApart++ }
+
 func constant(factor float64) func(time.Duration) float64 {
 	return func(time.Duration) float64 { return factor }
 }
@@ -185,6 +219,23 @@
 	}
 }
 
+// Guards against accusations of kinds that merely run beside long tasks: the tasks of a step are
+// beside each other, and take longer than estimated together. The bound: one start in a hundred.
+func TestWrongEstimatesKeepNoTasksApart(t *testing.T) {
+	for seed := range uint64(4) {
+		got := mixedLoad{
+			seed:      seed,
+			factor:    constant(1),
+			rate:      12,
+			misjudged: 0.6,
+		}.play(t)
+		t.Logf("seed %d: %d of %d starts", seed, got.keptApart, got.starts)
+		if got.keptApart*100 > got.starts {
+			t.Errorf("seed %d: %d of %d starts were kept apart although nothing disturbs", seed, got.keptApart, got.starts)
+		}
+	}
+}
+
 // Guards against best-effort tasks that start beside a latency-sensitive one which is near its
 // target while another target has room.
 func TestBestEffortTasksStartWhereServedTasksHaveHeadroom(t *testing.T) {
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -55,7 +55,6 @@
 	remainingPathMS int64 // critical path from the start of this step to the end of the job
 	speed           stepSpeed
 	kind            attributor.Kind
-	interference    attributor.Term // what its tasks have in common, to the attributor
 	advice          advice
 	started         bool
 	// waitLoggedAt is when a long wait of the step was last logged.
@@ -98,6 +97,7 @@
 	resumed          bool          // it started from a checkpoint
 	observedAt       time.Duration // when the attributor last got an observation of it
 	observedPercent  int           // its percent then
+	baseline         attributor.Baseline
 	pace             int
 	paceBefore       int // pace before paceSentAt
 	paceSentAt       time.Duration
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -4,7 +4,6 @@
 	"sort"
 	"time"
 
-	"github.com/comfreyford/comfreyford/pkg/attributor"
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
 	"github.com/comfreyford/comfreyford/pkg/packer"
 )
@@ -55,13 +54,12 @@
 	unexpectedStops  map[runKey]time.Duration // when the stops of unexpected runs were last sent
 	unexpectedRuns   int                      // listed runs that are being stopped because the engine does not track them
 	used             jobkeeper.Resources
-	latencySensitive int             // runs with a latency target
-	bestEffort       int             // runs that use processors which other tasks leave unused
-	interference     attributor.Term // what its runs have in common, to the attributor
-	slowdown         float64         // moving average of the time that runs take here relative to elsewhere, at least 1
-	closedUntil      time.Duration   // no new starts before this time, after an order that failed
-	evacuating       bool            // it is emptied because its VM is next to be maintained
-	evacuatingSince  time.Duration   // when evacuating was last set
+	latencySensitive int           // runs with a latency target
+	bestEffort       int           // runs that use processors which other tasks leave unused
+	slowdown         float64       // moving average of the time that runs take here relative to elsewhere, at least 1
+	closedUntil      time.Duration // no new starts before this time, after an order that failed
+	evacuating       bool          // it is emptied because its VM is next to be maintained
+	evacuatingSince  time.Duration // when evacuating was last set
 	// waitsForRoomSince is since when its VM could be maintained if its tasks had room elsewhere.
 	waitsForRoomSince time.Duration
 	removing          bool // its VM was ordered to move or to be maintained
--- a/pkg/orchestrator/targets_test.go
+++ b/pkg/orchestrator/targets_test.go
@@ -55,6 +55,7 @@
 	baseLatency   float64 // tail latency without neighbours, in ms; zero if it serves nobody
 	started       time.Duration
 	duration      time.Duration
+	worked        time.Duration // part of the duration that is over, on targets with slowedBy
 	longRunning   bool
 	checkpointing bool
 	gang          int           // number of members of its gang; zero for other runs
@@ -73,10 +74,11 @@
 			if f.runs[r.runKey] != r {
 				continue // ended with another member of its gang
 			}
-			if f.slowedBy != nil && !r.longRunning {
-				r.duration += time.Duration(float64(worldStep) * (1 - 1/f.slowedBy(r)))
-			}
 			elapsed := w.now - r.started
+			if f.slowedBy != nil {
+				r.worked += time.Duration(float64(worldStep) / f.slowedBy(r))
+				elapsed = r.worked
+			}
 			if r.stopAt > 0 && w.now >= r.stopAt {
 				w.endRun(f, r, orchestrator.EndStopped)
 				continue
