orchestrator: test that effects on tail latencies are learned

Cause: the tests of interference played tasks that end only.

Measured: with fillers that come and go beside six served tasks, a pair is known within 40 s if they raise the tail by 1.8, and none if they do not.

--- a/pkg/orchestrator/interference_test.go
+++ b/pkg/orchestrator/interference_test.go
@@ -259,6 +259,44 @@
 	w.verify()
 }
 
+// Guards against best-effort tasks whose effect on tail latencies stays unknown, and against
+// accusations of those that have none.
+func TestEffectOnTailLatenciesIsLearned(t *testing.T) {
+	for _, factor := range []float64{1, 1.8} {
+		w := newWorld(t, testConfiguration())
+		r := rand.New(rand.NewPCG(1, 1))
+		for i := range 6 {
+			f := w.addTarget(fmt.Sprintf("t%d", i), "desk", cores(8))
+			f.slowedBy = func(r *fakeRun) float64 {
+				noise := math.Exp(0.15 * rand.New(rand.NewPCG(uint64(w.now/(500*time.Millisecond)), uint64(i))).NormFloat64())
+				if r.image == "web" && len(f.runs) > 1 {
+					return noise * factor
+				}
+				return noise
+			}
+		}
+		w.takeOver()
+		w.run(300 * time.Millisecond)
+		serving := longRunningJob("serving", 6, 0)
+		serving.Steps[0].Image = "web"
+		serving.Steps[0].TailLatencyTargetMS = 100
+		w.submit(serving)
+		learned := false
+		for n := range 10 {
+			id := fmt.Sprintf("filling-%d", n)
+			w.submit(fillingJob(id, 1+r.IntN(5)))
+			w.run(2 * time.Second)
+			w.cancel(id)
+			w.run(2 * time.Second)
+			learned = learned || w.engine.InterferingPairs() > 0
+		}
+		if learned != (factor > 1) {
+			t.Errorf("factor %v: a pair is known: %v", factor, learned)
+		}
+		w.verify()
+	}
+}
+
 // fillingJob returns a job of long-running best-effort tasks, at most one per target.
 func fillingJob(id string, count int) *jobkeeper.Job {
 	j := longRunningJob(id, count, 0)
