review: an operators' configuration is checked before it is sent

Change: comfreyford review reads a configuration with the code that the daemons use, prints errors and warnings with their paths, and what changes for callers against the version in force, which comes from a file or from the platform's store. An error may have an exit status of its own.

Not checked yet: sizes of jobs against limits of teams, limits against the fleet, waves and labels against the list of VMs.

Measured: the testscript case review passes: 5 errors and 3 warnings in one file, warnings alone (exit status 2), six changes, a version whose entries are only in another order, JSON, and input that gets no verdict.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -26,6 +27,7 @@
 		platformCommand(),
 		workerCommand(),
 		checkCommand(),
+		reviewCommand(),
 		settingsCommand(),
 		fleetCommand(),
 		statusCommand(),
@@ -42,7 +44,8 @@
 	}
 }
 
-// Main runs the command line and returns the exit status.
+// Main runs the command line and returns the exit status: that of the error if it has one, else 1
+// for any error.
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -62,6 +65,10 @@
 	}
 	if err := root.Run(ctx, args); err != nil {
 		fmt.Fprintf(stderr, "comfreyford: %v\n", err)
+		var coder cli.ExitCoder
+		if errors.As(err, &coder) {
+			return coder.ExitCode()
+		}
 		return 1
 	}
 	return 0
