sequencer: capacity that arrives later counts from its arrival

Cause: the plan and the reported wait counted VMs that a pool can gain as if it had them.

Change: Capacity states what is coming and when; the engine computes it from pending orders, the owner's pause and the platform's rate of orders.

--- a/internal/manager/recorder.go
+++ b/internal/manager/recorder.go
@@ -312,7 +312,7 @@
 		return r
 	}
 	r.Racks = o.engine.Racks()
-	for _, load := range o.engine.PoolLoads() {
+	for _, load := range o.engine.PoolLoads(now) {
 		r.Pools = append(r.Pools, poolReport{
 			Pool:       load.Pool,
 			Millicores: load.Millicores / millicoreRounding * millicoreRounding,
--- a/internal/manager/transfer.go
+++ b/internal/manager/transfer.go
@@ -57,8 +57,9 @@
 	var candidates []orchestrator.Transfer
 	var own []orchestrator.PoolLoad
 	o.locked(func() {
-		candidates = o.engine.TransferCandidates(maxTransfers, o.cfg.Clock())
-		own = o.engine.PoolLoads()
+		now := o.cfg.Clock()
+		candidates = o.engine.TransferCandidates(maxTransfers, now)
+		own = o.engine.PoolLoads(now)
 	})
 	var transfers []pendingTransfer
 	for _, t := range candidates {
--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -218,7 +218,7 @@
 	}
 	waits := map[string]time.Duration{}
 	for name, p := range e.pools {
-		waits[name] = e.expectedWait(p)
+		waits[name] = e.expectedWait(p, now)
 	}
 	var states []QueueState
 	for _, name := range slices.Sorted(maps.Keys(e.conf.Queues)) {
@@ -235,11 +235,11 @@
 }
 
 // expectedWait returns how long new work of a pool waits if the whole backlog is done first.
-func (e *Engine) expectedWait(p *pool) time.Duration {
+func (e *Engine) expectedWait(p *pool, now time.Duration) time.Duration {
 	if p.demand.backlogCoreMS == 0 {
 		return 0
 	}
-	return time.Duration(p.demand.backlogCoreMS*1000/max(1000, e.planCapacity(p).Millicores)) * time.Millisecond
+	return e.planCapacity(p, now).BusyTime(p.demand.backlogCoreMS)
 }
 
 // minReportedWait is the shortest wait that is reported; no job is refused for less.
--- a/pkg/orchestrator/observer.go
+++ b/pkg/orchestrator/observer.go
@@ -58,17 +58,18 @@
 }
 
 // PoolLoads returns the load of each pool that is not a spare pool, sorted by name.
-func (e *Engine) PoolLoads() []PoolLoad {
+func (e *Engine) PoolLoads(now time.Duration) []PoolLoad {
 	var loads []PoolLoad
 	for _, name := range slices.Sorted(maps.Keys(e.pools)) {
 		if e.spare(name) {
 			continue
 		}
 		p := e.pools[name]
+		capacity := e.planCapacity(p, now)
 		loads = append(loads, PoolLoad{
 			Pool:       name,
-			Millicores: e.planCapacity(p).Millicores,
-			Backlog:    e.expectedWait(p),
+			Millicores: capacity.Millicores + capacity.Coming,
+			Backlog:    e.expectedWait(p, now),
 		})
 	}
 	return loads
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -33,7 +33,7 @@
 	}
 	e.measure(now)
 	for name, list := range works {
-		planned := sequencer.Plan(list, e.planCapacity(e.pool(name)))
+		planned := sequencer.Plan(list, e.planCapacity(e.pool(name), now))
 		for _, w := range list {
 			e.jobs[w.ID].planned = planned[w.ID]
 		}
@@ -41,9 +41,13 @@
 }
 
 // planCapacity returns the capacity of a pool for tasks that are not long-running.
-func (e *Engine) planCapacity(p *pool) sequencer.Capacity {
+func (e *Engine) planCapacity(p *pool, now time.Duration) sequencer.Capacity {
+	present := p.demand.capacityMillicores - p.demand.longRunningMillicores
+	coming, in := e.attainable(p, now)
 	capacity := sequencer.Capacity{
-		Millicores:     max(0, p.demand.capacityMillicores+e.attainable(p)-p.demand.longRunningMillicores),
+		Millicores:     max(0, present),
+		Coming:         max(0, coming+min(0, present)),
+		ComingIn:       in,
 		TeamMillicores: map[string]int64{},
 	}
 	for name, team := range e.conf.Teams {
@@ -54,23 +58,42 @@
 	return capacity
 }
 
-// attainable returns the capacity, in millicores, that a pool could gain within the time of
-// one move: VMs with a pending order that will be in it, VMs of spare pools, and idle VMs of
-// other pools.
-func (e *Engine) attainable(p *pool) int64 {
-	var sum int64
+// vmMoveTime is the time from the order to move a VM to the first start on its target.
+const vmMoveTime = 1700 * time.Millisecond
+
+// attainable returns the capacity, in millicores, that a pool could gain by moves, and the mean
+// time until it arrives: of VMs with a pending order that will be in it, VMs of spare pools, and
+// idle VMs of other pools. The platform limits the rate of orders, and a new owner gives none
+// before Config.VMOrderDelay has passed.
+func (e *Engine) attainable(p *pool, now time.Duration) (millicores int64, in time.Duration) {
+	var ordered, others int64
+	count := 0
 	for id, vm := range e.fleet.vms {
-		_, ordered := e.fleet.pendingOrders[id]
+		_, pending := e.fleet.pendingOrders[id]
 		switch {
-		case ordered && e.fleet.destination(&vm) == p.name, !ordered && vm.State == VMUp && e.spare(vm.Pool):
-			sum += vm.Capacity.CPUMillis
-		case vm.Pool != p.name && !ordered && vm.State == VMUp:
-			if t := e.targetOn(id); t != nil && len(t.attempts) == 0 {
-				sum += vm.Capacity.CPUMillis
+		case pending:
+			if e.fleet.destination(&vm) == p.name {
+				ordered += vm.Capacity.CPUMillis
 			}
+		case vm.State != VMUp || vm.Pool == p.name:
+		case e.spare(vm.Pool), e.idleOn(id):
+			others += vm.Capacity.CPUMillis
+			count++
 		}
 	}
-	return sum
+	if ordered+others == 0 {
+		return 0, 0
+	}
+	rounds := time.Duration(count / max(1, e.movesPerRound()))
+	untilOrder := max(0, e.cfg.AcquiredAt+e.cfg.VMOrderDelay-now) + rounds*moveInterval/2
+	weight := float64(others) / float64(ordered+others)
+	return ordered + others, vmMoveTime/2 + time.Duration(weight*float64(untilOrder+vmMoveTime/2))
+}
+
+// idleOn reports whether the VM has a target on which nothing runs.
+func (e *Engine) idleOn(vm string) bool {
+	t := e.targetOn(vm)
+	return t != nil && len(t.attempts) == 0
 }
 
 // work describes the remaining work of a job to the sequencer. For scheduled jobs, the due
--- a/pkg/sequencer/plan.go
+++ b/pkg/sequencer/plan.go
@@ -23,9 +23,24 @@
 // Capacity is the processor capacity that a pool has for tasks other than long-running ones.
 type Capacity struct {
 	Millicores     int64            // in millicores (thousandths of a core)
+	Coming         int64            // in millicores, that the pool can have in addition after ComingIn
+	ComingIn       time.Duration    // from now
 	TeamMillicores map[string]int64 // in millicores, for teams with an upper limit
 }
 
+// BusyTime returns how long the pool is busy with the given work, in core-milliseconds: at first
+// with the capacity that it has, then with what is coming too.
+func (c Capacity) BusyTime(coreMS int64) time.Duration {
+	if c.Coming <= 0 {
+		return busyTime(coreMS, c.Millicores)
+	}
+	beforeMS := int64(packingShare * float64(max(0, c.Millicores)) * c.ComingIn.Seconds())
+	if coreMS < beforeMS {
+		return busyTime(coreMS, c.Millicores)
+	}
+	return c.ComingIn + busyTime(coreMS-beforeMS, max(0, c.Millicores)+c.Coming)
+}
+
 // packingShare is the fraction of the processors of a pool that tasks can fill; the rest is in
 // gaps too small for any task.
 const packingShare = 0.9
@@ -48,7 +63,7 @@
 	var ahead int64
 	aheadOfTeam := map[string]int64{}
 	for _, w := range order {
-		wait := busyTime(ahead, capacity.Millicores)
+		wait := capacity.BusyTime(ahead)
 		if limit, limited := capacity.TeamMillicores[w.Team]; limited {
 			wait = max(wait, busyTime(aheadOfTeam[w.Team], limit))
 		}
--- a/pkg/sequencer/sequencer_test.go
+++ b/pkg/sequencer/sequencer_test.go
@@ -63,6 +63,8 @@
 		{"a job that can only be late delays no other", []sequencer.Work{job("late", 80000, 100*time.Millisecond), job("a", 1000, 2*time.Second)}, sequencer.Capacity{Millicores: 8000}, []string{"a"}},
 		{"work over the share does not displace work within the share of a team", []sequencer.Work{overShare, job("a", 16000, 1100*time.Millisecond)}, sequencer.Capacity{Millicores: 8000}, []string{"a"}},
 		{"no capacity", []sequencer.Work{job("a", 1000, 2*time.Second), job("b", 1000, 2*time.Second)}, sequencer.Capacity{}, []string{"a"}},
+		{"VMs on their way come too late", []sequencer.Work{job("a", 1900, 1500*time.Millisecond), job("b", 1000, 1500*time.Millisecond), job("c", 1000, 1500*time.Millisecond)}, sequencer.Capacity{Millicores: 1000, Coming: 80000, ComingIn: 2 * time.Second}, []string{"a"}},
+		{"VMs on their way come in time", []sequencer.Work{job("a", 2000, 2500*time.Millisecond), job("b", 1000, 2500*time.Millisecond), job("c", 1000, 2500*time.Millisecond)}, sequencer.Capacity{Millicores: 1000, Coming: 80000, ComingIn: 1500 * time.Millisecond}, []string{"a", "b", "c"}},
 		{"upper limit of a team", []sequencer.Work{job("a", 4000, 2*time.Second), job("b", 4000, 2*time.Second)}, sequencer.Capacity{Millicores: 80000, TeamMillicores: map[string]int64{"schools": 2000}}, []string{"a"}},
 	}
 	for _, test := range tests {
@@ -247,3 +249,26 @@
 		}
 	}
 }
+
+func TestBusyTime(t *testing.T) {
+	tests := []struct {
+		name     string
+		capacity sequencer.Capacity
+		coreMS   int64
+		want     time.Duration
+	}{
+		{"no work", sequencer.Capacity{Millicores: 1000}, 0, 0},
+		{"present capacity", sequencer.Capacity{Millicores: 10_000}, 9000, time.Second},
+		{"ends before more capacity comes", sequencer.Capacity{Millicores: 10_000, Coming: 90_000, ComingIn: 2 * time.Second}, 9000, time.Second},
+		{"goes on with what has come", sequencer.Capacity{Millicores: 10_000, Coming: 90_000, ComingIn: time.Second}, 9000 + 90_000, 2 * time.Second},
+		{"nothing before it comes", sequencer.Capacity{Coming: 10_000, ComingIn: time.Second}, 9000, 2 * time.Second},
+		{"no capacity", sequencer.Capacity{}, 1, time.Hour},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.capacity.BusyTime(test.coreMS); got != test.want {
+				t.Errorf("got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
