manager: the history of arrivals outlives its owner

Change: the owner stores the history of arrivals every 3 s under a key that only the next owner reads, in place of the cycle in its report; the next owner adds the jobs that arrived since, by the time of their acceptance.

TestRestoredForecastGoesOn and TestOwnerStoresForecastForTheNextOne pass.

--- a/internal/manager/fleet_view.go
+++ b/internal/manager/fleet_view.go
@@ -10,7 +10,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/comfreyford/comfreyford/pkg/forecaster"
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
 	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 	"github.com/comfreyford/comfreyford/pkg/partitioner"
@@ -44,8 +43,6 @@
 	Configuration storer.Version `cbor:"4,keyasint"`
 	// OverShare holds what teams use that exceed their share in the cell.
 	OverShare map[string]jobkeeper.Resources `cbor:"5,keyasint,omitempty"`
-	// Forecast is the cycle of the load of the cell, for its next owner; nil if none is known.
-	Forecast *forecaster.State `cbor:"6,keyasint,omitempty"`
 }
 
 // poolReport is the part of a cell's report on a pool.
@@ -187,13 +184,6 @@
 	return received.cellReport, age, found && age <= maxReportAge
 }
 
-// forecast returns the forecast in the last report of a cell, however old; nil if there is none.
-func (v *fleetView) forecast(cell string) *forecaster.State {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.reports[cell].Forecast
-}
-
 // queue returns the state of a queue in a cell.
 func (r *cellReport) queue(name string) orchestrator.QueueState {
 	for _, q := range r.Queues {
--- a/internal/manager/intake.go
+++ b/internal/manager/intake.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/comfreyford/comfreyford/internal/sleeper"
+	"github.com/comfreyford/comfreyford/pkg/forecaster"
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
 	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 	"github.com/comfreyford/comfreyford/pkg/partitioner"
@@ -55,6 +56,28 @@
 	return roster, true, nil
 }
 
+// readForecast returns the forecast of the earlier owner, or nil: the takeover does not depend on
+// it.
+func (o *owner) readForecast(ctx context.Context) *forecaster.State {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	item, err := o.cfg.Store.Read(call, forecastKey(o.cell))
+	if err != nil {
+		o.logger.Warn("reading the forecast failed, going on without it", "error", err)
+		return nil
+	}
+	if item.Version == 0 {
+		return nil
+	}
+	o.locked(func() { o.versions[forecastKey(o.cell)] = item.Version })
+	state := &forecaster.State{}
+	if err := cbor.Unmarshal(item.Value, state); err != nil {
+		o.logger.Warn("forecast not readable, going on without it", "error", err)
+		return nil
+	}
+	return state
+}
+
 func (o *owner) readWaves(ctx context.Context) error {
 	items, err := o.scan(ctx, wavePrefix(o.cell))
 	if err != nil {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -38,6 +38,9 @@
 // rosterKey returns the key of the targets of a cell that may run something.
 func rosterKey(cell string) string { return controlPrefix + "roster/" + cell }
 
+// forecastKey returns the key of the forecast of the load of a cell.
+func forecastKey(cell string) string { return controlPrefix + "forecast/" + cell }
+
 // waveStatePrefix is the prefix of the states of the maintenance waves in all cells.
 const waveStatePrefix = controlPrefix + "wave/"
 
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -121,6 +121,7 @@
 	o.spawn(func() { o.decide(ctx) })
 	o.spawn(func() { o.recordChanges(ctx) })
 	o.spawn(func() { o.publishReport(ctx) })
+	o.spawn(func() { o.storeForecast(ctx) })
 	o.spawn(func() { o.adoptEndedJobs(ctx) })
 	if !o.layout.Single() {
 		o.spawn(func() { o.planWaves(ctx) })
@@ -188,6 +189,7 @@
 	if err := o.readWaves(ctx); err != nil {
 		return err
 	}
+	forecast := o.readForecast(ctx)
 	b := o.cfg.Bounds
 	var observer orchestrator.Observer
 	if o.cfg.Recorder != nil {
@@ -212,7 +214,9 @@
 		RosterUnknown:     !rosterKnown,
 		FirstOwner:        rosterKnown && len(roster) == 0,
 	})
-	engine.RestoreForecast(o.view.forecast(o.cell), o.cfg.Clock(), o.cfg.UnixMS())
+	if forecast != nil {
+		engine.RestoreForecast(forecast, o.cfg.Clock(), o.cfg.UnixMS())
+	}
 	o.mu.Lock()
 	o.engine = engine
 	o.mu.Unlock()
--- a/internal/manager/recorder.go
+++ b/internal/manager/recorder.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/comfreyford/comfreyford/internal/sleeper"
+	"github.com/comfreyford/comfreyford/pkg/forecaster"
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
 	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 	"github.com/comfreyford/comfreyford/pkg/storer"
@@ -21,6 +22,9 @@
 	publishInterval = 300 * time.Millisecond
 	// publishRefresh is the time after which an unchanged report is written again.
 	publishRefresh = 3 * time.Second
+	// forecastInterval separates two writes of the forecast. A new owner knows the arrivals
+	// since the last one from the jobs that have not ended.
+	forecastInterval = 3 * time.Second
 	// waitRounding is the unit to which reported waits are rounded, so that small changes
 	// cause no writes.
 	waitRounding = 200 * time.Millisecond
@@ -291,6 +295,29 @@
 	}
 }
 
+// storeForecast stores the forecast for the next owner of the cell until ctx ends.
+func (o *owner) storeForecast(ctx context.Context) {
+	for sleeper.Sleep(ctx, forecastInterval) {
+		if !o.leaseValid() {
+			continue
+		}
+		var state *forecaster.State
+		o.locked(func() { state = o.engine.ForecastState(o.cfg.Clock(), o.cfg.UnixMS()) })
+		if state == nil {
+			continue
+		}
+		data, err := cbor.Marshal(state)
+		if err != nil {
+			o.logger.Error("encoding the forecast failed", "error", err)
+			continue
+		}
+		o.put(ctx, storer.Put{
+			Key:   forecastKey(o.cell),
+			Value: data,
+		})
+	}
+}
+
 // report describes the cell. Figures are rounded, so that small changes cause no writes.
 func (o *owner) report() cellReport {
 	o.mu.Lock()
@@ -300,7 +327,6 @@
 		Queues:        o.engine.QueueStates(now),
 		Configuration: o.configRevision,
 		OverShare:     o.overShare(),
-		Forecast:      o.engine.ForecastState(now, o.cfg.UnixMS()),
 	}
 	for i := range r.Queues {
 		r.Queues[i].ExpectedWait = r.Queues[i].ExpectedWait.Round(waitRounding)
--- a/pkg/forecaster/forecaster.go
+++ b/pkg/forecaster/forecaster.go
@@ -130,15 +130,16 @@
 	}
 }
 
-// Add records the arrival of an amount of work.
-func (f *Forecaster) Add(name string, work float64, now time.Duration) {
-	f.Advance(now)
+// Add records the arrival of an amount of work, now or within the history.
+func (f *Forecaster) Add(name string, work float64, at time.Duration) {
+	f.Advance(at)
+	bin := f.bin(at)
 	if !f.began {
 		f.began = true
-		f.reset(f.bin(now))
+		f.reset(bin)
 	}
-	if s := f.get(name); s != nil {
-		s.bins[f.bin(now)%f.size] += work
+	if s := f.get(name); s != nil && bin >= f.oldest() {
+		s.bins[bin%f.size] += work
 	}
 }
 
@@ -203,8 +204,16 @@
 	}
 }
 
-// bin returns the number of the bin of a time. A restored history begins before the clock does.
-func (f *Forecaster) bin(at time.Duration) int { return int(at/f.cfg.Bin) + f.size }
+// bin returns the number of the bin of a time. A restored history may begin before the clock
+// does.
+func (f *Forecaster) bin(at time.Duration) int {
+	return int((at + time.Duration(f.size)*f.cfg.Bin) / f.cfg.Bin)
+}
+
+// begin returns the time at which a bin begins.
+func (f *Forecaster) begin(bin int) time.Duration {
+	return time.Duration(bin-f.size) * f.cfg.Bin
+}
 
 func (f *Forecaster) bins(d time.Duration) int { return max(1, int(d/f.cfg.Bin)) }
 
@@ -292,9 +301,6 @@
 	for _, s := range f.series {
 		f.smooth(s, start, n)
 	}
-	if f.period > 0 && n-f.period < f.overlap(f.period) {
-		return // restored, and too early to judge
-	}
 	errs := make([]float64, n)
 	for lag := range errs {
 		errs[lag] = f.lagError(lag, n)
--- a/pkg/orchestrator/forecast.go
+++ b/pkg/orchestrator/forecast.go
@@ -34,8 +34,8 @@
 	moveTime   time.Duration
 	ordered    map[string]time.Duration // time of the last order to move, by VM
 	period     time.Duration            // that was last logged
-	state      *forecaster.State        // for the next owner
-	stateAt    time.Duration
+	restored   bool
+	restoredTo time.Duration // end of the history of the earlier owner
 }
 
 func newForecast() *forecast {
@@ -46,26 +46,18 @@
 	}
 }
 
-// ForecastState returns what the next owner needs to go on with the forecast, or nil if no
-// cycle is known. It changes once in a period at most.
+// ForecastState returns what the next owner needs to go on with the forecast, or nil if nothing
+// has arrived.
 func (e *Engine) ForecastState(now time.Duration, wallMS int64) *forecaster.State {
-	f := e.forecast
-	period := f.forecaster.Cycle().Period
-	if period == 0 {
-		f.state = nil
-	} else if f.state == nil || now-f.stateAt >= period {
-		f.state, f.stateAt = f.forecaster.Snapshot(now, wallMS), now
-	}
-	return f.state
+	return e.forecast.forecaster.Snapshot(now, wallMS)
 }
 
-// RestoreForecast goes on with the forecast of an earlier owner; state may be nil.
+// RestoreForecast goes on with the forecast of an earlier owner. The jobs that arrived since its
+// state was stored, and have not ended, are counted as they are added.
 func (e *Engine) RestoreForecast(state *forecaster.State, now time.Duration, wallMS int64) {
-	if state == nil {
-		return
-	}
-	restored := e.forecast.forecaster.Restore(state, now, wallMS)
-	e.cfg.Logger.Info("forecast of the earlier owner", "restored", restored, "period_ms", state.PeriodMS, "error", state.Error, "age_ms", wallMS-state.EndMS)
+	f := e.forecast
+	f.restoredTo, f.restored = f.forecaster.Restore(state, now, wallMS)
+	e.cfg.Logger.Info("forecast of the earlier owner", "restored", f.restored, "period_ms", state.PeriodMS, "error", state.Error, "age_ms", wallMS-state.EndMS)
 }
 
 // poolForecast is the load of a pool that is expected, in millicores; zero if it is not known.
@@ -76,11 +68,19 @@
 	err       float64
 }
 
-// recordArrival counts a job that has arrived in the load of its pool.
-func (e *Engine) recordArrival(j *job, now time.Duration) {
-	p := e.pool(e.poolOf(j))
-	p.offered.add(j.doc.WorkMS(), now)
-	e.forecast.forecaster.Add(p.name, float64(j.doc.WorkMS()), now)
+// recordArrival counts a job in the load of its pool: a fresh one, which has just arrived, or one
+// that arrived after the earlier owner stored its forecast.
+func (e *Engine) recordArrival(j *job, fresh bool, now time.Duration) {
+	if j.doc.Scheduled() || j.doc.LongRunning() || j.overShare {
+		return
+	}
+	p, f := e.pool(e.poolOf(j)), e.forecast
+	if fresh {
+		p.offered.add(j.doc.WorkMS(), now)
+	}
+	if fresh || f.restored && j.arrival >= f.restoredTo {
+		f.forecaster.Add(p.name, float64(j.doc.WorkMS()), j.arrival)
+	}
 }
 
 // predict updates the forecast of each pool.
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -207,10 +207,7 @@
 	e.active = append(e.active, j)
 	j.overShare = e.exceedsShare(doc, now)
 	j.planned = true
-	fresh := created > e.cfg.Fence
-	if fresh && !doc.Scheduled() && !doc.LongRunning() && !j.overShare {
-		e.recordArrival(j, now)
-	}
+	e.recordArrival(j, created > e.cfg.Fence, now)
 	e.openOccurrences(now, nowMS)
 	if progress != nil {
 		e.applyTaskRecords(j, progress.Tasks, now, nowMS)
