orchestrator: a VM of a wave is emptied when room is about to come

Cause: while tasks keep a pool full, each long-running task of a VM that could be maintained waited up to 3 s for room, though it comes first when a task ends. Change: evacuate also counts room that tasks free when they end, if the maintenance can follow at once.

--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -164,7 +164,7 @@
 // evacuate closes a target for new work and stops its long-running tasks as far as their
 // disruption budgets and the room elsewhere allow. If canOrder is true, so that its VM could be
 // maintained as soon as it is empty, it does without room elsewhere after evacuationPatience. It
-// reports whether nothing runs there any more.
+// reports whether nothing runs there any more. Room that tasks are about to free is enough then.
 func (e *Engine) evacuate(t *target, now time.Duration, reason string, canOrder bool) bool {
 	if !t.evacuating {
 		t.evacuatingSince = now
@@ -180,7 +180,7 @@
 		if !a.task.step.step.LongRunning || !e.mayInterrupt(a, now) {
 			continue
 		}
-		if e.roomElsewhere(a, now) || now-t.waitsForRoomSince > evacuationPatience {
+		if e.roomElsewhere(a, now) || canOrder && e.roomSoon(a, now) || now-t.waitsForRoomSince > evacuationPatience {
 			a.task.step.interruptedAt = now
 			e.stop(a, now, reason)
 			continue
@@ -236,6 +236,27 @@
 	return false
 }
 
+// roomSoon reports whether the task of a run could start on another target as soon as tasks that
+// end have ended there: long-running tasks come before all others that wait.
+func (e *Engine) roomSoon(a *attempt, now time.Duration) bool {
+	s := a.task.step
+	p := e.pool(e.poolOf(s.job))
+	request := packer.Request{
+		Step: s.step,
+	}
+	for i, v := range e.view(p, s, now) {
+		for _, other := range p.targets[i].attempts {
+			if !other.task.step.step.LongRunning {
+				v.Used = v.Used.Minus(other.task.step.step.Reserved())
+			}
+		}
+		if p.targets[i] != a.target && packer.Eligible(request, &v) {
+			return true
+		}
+	}
+	return false
+}
+
 // vmOrder issues an order for a VM, which ends the target on it.
 func (e *Engine) vmOrder(o Order, now time.Duration) {
 	o.Fence = e.cfg.Fence
--- a/pkg/orchestrator/wave_test.go
+++ b/pkg/orchestrator/wave_test.go
@@ -1,6 +1,7 @@
 package orchestrator_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -34,3 +35,32 @@
 	t.Logf("the wave took %s", w.now-began)
 	w.verify()
 }
+
+// The load: a wave over the VMs of long-running tasks while short tasks keep the pool full, and no
+// spare VM is left. Each turn has to wait for the end of a short task, not for a VM.
+func TestWaveGoesOnInAFullPool(t *testing.T) {
+	w := newWorldWithTargets(t, 8)
+	w.startupTime = time.Second
+	w.submit(longRunningJob("a", 6, 1))
+	w.run(2 * time.Second)
+	var vms []string
+	for i := range 6 {
+		vms = append(vms, w.targets[w.runningOn(fmt.Sprintf("a.0.0.%d", i))].VM)
+	}
+	const duration = 7 * time.Second // one second for each turn, and one
+	w.startWave(vms, duration, 2)
+	began := w.now
+	complete := false
+	for n := 0; !complete && w.now-began < 2*duration; n++ {
+		w.submit(testJob(fmt.Sprintf("s%03d", n), "schools", 500, 12))
+		w.run(100 * time.Millisecond)
+		for _, state := range w.engine.TakeWaves() {
+			complete = complete || state.Complete
+		}
+	}
+	t.Logf("the wave took %s", w.now-began)
+	if w.now-began > duration {
+		t.Errorf("the wave took %s, want at most %s", w.now-began, duration)
+	}
+	w.verify()
+}
