--- a/pkg/orchestrator/interference_test.go
+++ b/pkg/orchestrator/interference_test.go
@@ -147,6 +147,7 @@
 func (*countingObserver) TaskOrder(string, string)                       {}
 func (*countingObserver) VMOrder(string, string)                         {}
 func (*countingObserver) TaskEnd(string, string)                         {}
+func (*countingObserver) VMsAhead(string, int)                           {}
 func (o *countingObserver) TaskKeptApart(string)                         { o.keptApart++ }
 
 func constant(factor float64) func(time.Duration) float64 {
