evacuation of availability zones

Change: owners follow the keys with the operators' other requests. Targets of an evacuated zone take no starts, VMs there do not count as capacity and are replaced by others, long-running tasks move out within their disruption budgets, idle VMs are parked, waves take them first, cells evacuated as a whole give their waiting jobs to others.

--- a/internal/commander/cells.go
+++ b/internal/commander/cells.go
@@ -111,6 +111,12 @@
 		}
 		fmt.Fprintf(w, "%d\t%d of %d\t%d\t%s\n", wave.Number, wave.Maintained, wave.VMs, wave.MaxDown, state)
 	}
+	if len(s.Evacuations) > 0 {
+		fmt.Fprintln(w, "\nEVACUATED ZONE\tRUNS LEFT")
+	}
+	for _, z := range s.Evacuations {
+		fmt.Fprintf(w, "%s\t%d\n", z.Zone, z.Runs)
+	}
 	for i, problem := range s.Problems {
 		if i == 0 {
 			fmt.Fprintln(w)
--- a/internal/commander/cells_test.go
+++ b/internal/commander/cells_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/comfreyford/comfreyford/internal/manager"
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 )
 
 func Example_printCells() {
@@ -43,6 +44,10 @@
 			Maintained: 41,
 			MaxDown:    66,
 		}},
+		Evacuations: []orchestrator.ZoneRuns{{
+			Zone: "west",
+			Runs: 14,
+		}},
 		Problems: []string{"control/roster/c1-0: cbor: unexpected \"break\" code"},
 	}); err != nil {
 		fmt.Println(err)
@@ -63,6 +68,9 @@
 	// WAVE  MAINTAINED  MAX DOWN  STATE
 	// 3     41 of 178   66        running
 	//
+	// EVACUATED ZONE  RUNS LEFT
+	// west            14
+	//
 	// problem: control/roster/c1-0: cbor: unexpected "break" code
 }
 
--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -10,6 +10,7 @@
 	runsLost     int // with their target, or because a lease expired
 	runsFailed   int
 	runsStopped  int
+	runsMovedOut int    // of runsStopped, because their availability zone was evacuated
 	startsFailed int    // starts that were refused or whose outcome is unknown
 	takeovers    int    // while the job was in progress
 	transfers    int    // from one cell to another
@@ -66,6 +67,10 @@
 		f.waitedFor, f.waitedMS = text(e.Fields["for"]), number(e, "waited_ms")
 	case "run lost", "run missing from the target's list":
 		f.lostReason = text(e.Fields["reason"])
+	case "run stopped":
+		if text(e.Fields["reason"]) == "availability zone evacuated" {
+			f.runsMovedOut++
+		}
 	case "start refused or not confirmed":
 		f.startsFailed++
 	case "task waiting for another start":
@@ -105,6 +110,7 @@
 	add(f.transfers > 0, "it went to another cell %d times", f.transfers)
 	add(f.runsFailed > 0, "%d runs failed", f.runsFailed)
 	add(f.runsStopped > 0, "%d runs were stopped and started again", f.runsStopped)
+	add(f.runsMovedOut > 0, "%d of its tasks left an evacuated availability zone", f.runsMovedOut)
 	add(f.firstWaitMS >= minReportedWaitMS, "it waited %.0f ms for its first start", f.firstWaitMS)
 	add(f.stepWaitMS >= minReportedWaitMS && f.stepWaitMS > f.firstWaitMS, "its steps waited %.0f ms in total for their first starts", f.stepWaitMS)
 	add(f.waitedFor != "", "a step waited for %s, %.0f ms after it was due", f.waitedFor, f.waitedMS)
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -61,6 +61,7 @@
 	"ownership acquired", "ownership ended", "takeover", "takeover complete", "orders to targets and VMs paused or resumed",
 	"this daemon is no longer the owner", "owner returned an error", "watching the store failed, trying again", "watching the store works again",
 	"target failed to list its runs", "target lists its runs again", "target may have restarted", "target had not restarted", "target restarted", "target crashed", "target may have crashed", "target had not crashed", "target no longer runs on its VM", "target ejected after task failures",
+	"availability zone evacuated", "availability zone taken back",
 }
 
 // earlierMessages maps messages of earlier releases to those of this release, so that logs of
--- a/internal/manager/configuration.go
+++ b/internal/manager/configuration.go
@@ -57,13 +57,16 @@
 	revision storer.Version
 }
 
-// settings holds the newest configuration and the maintenance waves.
+// settings holds the newest configuration, the maintenance waves and the evacuated availability
+// zones.
 type settings struct {
-	cfg     Config
-	mu      sync.Mutex
-	stored  *storedConfiguration
-	waves   map[string]orchestrator.Wave // by key
-	changed chan struct{}                // closed and replaced at each change
+	cfg    Config
+	mu     sync.Mutex
+	stored *storedConfiguration
+	waves  map[string]orchestrator.Wave // by key
+	// evacuated holds the evacuated availability zones by key. The map is replaced at each change.
+	evacuated map[string]string
+	changed   chan struct{} // closed and replaced at each change
 }
 
 func newSettings(cfg Config) *settings {
@@ -93,8 +96,11 @@
 func (s *settings) apply(events []storer.Event, full bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	evacuated := map[string]string{}
 	if full {
 		clear(s.waves)
+	} else {
+		maps.Copy(evacuated, s.evacuated)
 	}
 	for _, event := range events {
 		if event.Item.Key == s.cfg.Schema.ConfigurationKey() {
@@ -103,11 +109,44 @@
 			}
 			continue
 		}
+		if s.applyEvacuation(event, evacuated) {
+			continue
+		}
 		s.applyWave(event)
 	}
+	s.evacuated = evacuated
 	s.notify()
 }
 
+// applyEvacuation changes the evacuated zones by an event. It returns false if the event is not
+// about an evacuation.
+func (s *settings) applyEvacuation(event storer.Event, evacuated map[string]string) bool {
+	zone, ok, err := s.cfg.Schema.Evacuation(event.Item)
+	switch {
+	case err != nil:
+		s.cfg.Logger.Warn("request to evacuate an availability zone not readable", "key", event.Item.Key, "error", err)
+	case ok && event.Deleted:
+		delete(evacuated, event.Item.Key)
+		s.cfg.Logger.Info("request to evacuate an availability zone withdrawn", "zone", zone)
+	case ok:
+		evacuated[event.Item.Key] = zone
+		s.cfg.Logger.Info("request to evacuate an availability zone", "zone", zone, "revision", uint64(event.Item.Version))
+	}
+	return ok || err != nil
+}
+
+// evacuatedZones returns the availability zones that the operators have evacuated.
+func (s *settings) evacuatedZones() map[string]bool {
+	s.mu.Lock()
+	evacuated := s.evacuated // never changed in place
+	s.mu.Unlock()
+	zones := make(map[string]bool, len(evacuated))
+	for _, zone := range evacuated {
+		zones[zone] = true
+	}
+	return zones
+}
+
 func (s *settings) applyWave(event storer.Event) {
 	if event.Deleted {
 		delete(s.waves, event.Item.Key)
--- a/internal/manager/fleet_view.go
+++ b/internal/manager/fleet_view.go
@@ -43,6 +43,8 @@
 	Configuration storer.Version `cbor:"4,keyasint"`
 	// OverShare holds what teams use that exceed their share in the cell.
 	OverShare map[string]jobkeeper.Resources `cbor:"5,keyasint,omitempty"`
+	// Evacuated holds the runs that are left in evacuated availability zones.
+	Evacuated []orchestrator.ZoneRuns `cbor:"6,keyasint,omitempty"`
 }
 
 // poolReport is the part of a cell's report on a pool.
--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -290,6 +290,7 @@
 		return layout.Cells()[0], true
 	}
 	homes := layout.Homes(a.team, a.conf.Engine.Teams[a.team].Limit)
+	homes = layout.OpenCells(homes, f.settings.evacuatedZones())
 	candidates := f.view.candidates(homes, job.Pool, jobRack(job))
 	i := partitioner.Choose(candidates, [2]float64{rand.Float64(), rand.Float64()})
 	if i < 0 {
--- a/internal/manager/intake.go
+++ b/internal/manager/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -300,10 +301,28 @@
 		}
 	}
 	o.vmCells = cells
+	o.logUnknownZones(vms)
 	o.engine.SetVMs(own, askedAt, o.cfg.Clock())
 	o.wake()
 }
 
+// logUnknownZones logs, once for each evacuation, that the zone has no VM: its name may be wrong.
+// The caller holds the lock.
+func (o *owner) logUnknownZones(vms []orchestrator.VM) {
+	evacuated := o.settings.evacuatedZones()
+	for zone := range evacuated {
+		if slices.ContainsFunc(vms, func(vm orchestrator.VM) bool { return vm.Zone == zone }) {
+			delete(o.unknownZones, zone)
+			continue
+		}
+		if !o.unknownZones[zone] {
+			o.unknownZones[zone] = true
+			o.logger.Warn("evacuated availability zone has no VM", "zone", zone, "vms", len(vms))
+		}
+	}
+	maps.DeleteFunc(o.unknownZones, func(zone string, _ bool) bool { return !evacuated[zone] })
+}
+
 const (
 	// vmTimeout bounds a call to the platform's service for VMs.
 	vmTimeout = 2 * time.Second
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -47,7 +47,8 @@
 // StoreSchema knows the keys under which the platform and its operators keep their entries in
 // the store, and decodes the entries.
 type StoreSchema interface {
-	// OperatorPrefix is the prefix of the configuration and the maintenance waves.
+	// OperatorPrefix is the prefix of the configuration, the maintenance waves and the
+	// evacuations.
 	OperatorPrefix() string
 	// ConfigurationKey is the key of the configuration.
 	ConfigurationKey() string
@@ -61,6 +62,9 @@
 	TargetID(key string) string
 	// Wave decodes a request for a maintenance wave; ok is false if the item is none.
 	Wave(item storer.Item) (wave orchestrator.Wave, ok bool, err error)
+	// Evacuation decodes a request to evacuate an availability zone; ok is false if the item is
+	// none.
+	Evacuation(item storer.Item) (zone string, ok bool, err error)
 	// WaveStatus returns the entry from which operators read the status of a wave.
 	WaveStatus(state orchestrator.WaveState) (storer.Put, error)
 }
--- a/internal/manager/metrics.go
+++ b/internal/manager/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/comfreyford/comfreyford/internal/recorder"
+	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 	"github.com/comfreyford/comfreyford/pkg/storer"
 )
 
@@ -33,6 +34,7 @@
 		})),
 		r.RegisterGauge(recorder.PoolTargets, func() []recorder.Sample { return m.poolSamples(false) }),
 		r.RegisterGauge(recorder.PoolCores, func() []recorder.Sample { return m.poolSamples(true) }),
+		r.RegisterGauge(recorder.EvacuatedRuns, m.evacuatedSamples),
 	)
 }
 
@@ -46,6 +48,30 @@
 	return samples
 }
 
+// evacuatedSamples returns the runs that are left in evacuated availability zones, by zone and
+// cell, in the cells that this daemon owns.
+func (m *Manager) evacuatedSamples() []recorder.Sample {
+	var samples []recorder.Sample
+	for _, o := range m.runningOwners() {
+		for _, z := range o.evacuatedZones() {
+			samples = append(samples, recorder.Sample{
+				Value:  float64(z.Runs),
+				Labels: []attribute.KeyValue{attribute.String("zone", z.Zone), attribute.String("cell", o.cell)},
+			})
+		}
+	}
+	return samples
+}
+
+func (o *owner) evacuatedZones() []orchestrator.ZoneRuns {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.engine == nil {
+		return nil
+	}
+	return o.engine.EvacuatedZones()
+}
+
 func (o *owner) poolSamples(cores bool) []recorder.Sample {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -57,6 +57,7 @@
 	workers        sync.WaitGroup
 	shares         teamShares
 	vmCells        map[string]string // cell of each VM of the fleet; nil before the first list
+	unknownZones   map[string]bool   // evacuated zones without a VM, which were logged
 	paused         bool              // decisions wait for a newer state of the store
 	ctx            context.Context   // ends with the ownership; for calls that callbacks start
 	fail           context.CancelCauseFunc
@@ -78,6 +79,7 @@
 		wakeup:        make(chan struct{}, 1),
 		knownWaves:    map[int]bool{},
 		versions:      map[string]storer.Version{},
+		unknownZones:  map[string]bool{},
 	}
 	o.intakeWatch = newPrefixWatcher(watcherConfig{
 		Store:  cfg.Store,
@@ -293,8 +295,9 @@
 // tick runs the engine once and sends its orders and advice requests. If the lease has expired
 // or the known state is too old, it only applies changes of the configuration and the waves.
 func (o *owner) tick(ctx context.Context) {
+	fresh := o.fresh() // before configure, which then passes on nothing older
 	o.configure()
-	if !o.leaseValid() || !o.fresh() {
+	if !o.leaseValid() || !fresh {
 		o.logPause(true)
 		return
 	}
@@ -332,7 +335,7 @@
 		o.registrationWatch.age() < maxKnowledgeAge && o.operatorWatch.age() < maxKnowledgeAge && o.configRevision != 0
 }
 
-// configure passes a changed configuration and changed waves to the engine.
+// configure passes a changed configuration, evacuations and changed waves to the engine.
 func (o *owner) configure() {
 	conf, waves, _ := o.settings.state()
 	if conf == nil {
@@ -341,6 +344,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.applyShares(conf)
+	o.engine.SetEvacuatedZones(o.settings.evacuatedZones(), o.cfg.Clock())
 	o.configRevision = conf.revision
 	present := map[int]bool{}
 	for _, w := range waves {
--- a/internal/manager/recorder.go
+++ b/internal/manager/recorder.go
@@ -300,6 +300,7 @@
 		Queues:        o.engine.QueueStates(now),
 		Configuration: o.configRevision,
 		OverShare:     o.overShare(),
+		Evacuated:     o.engine.EvacuatedZones(),
 	}
 	for i := range r.Queues {
 		r.Queues[i].ExpectedWait = r.Queues[i].ExpectedWait.Round(waitRounding)
--- a/internal/manager/schema_test.go
+++ b/internal/manager/schema_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -38,6 +39,15 @@
 	return w, err == nil, err
 }
 
+// Evacuation takes the rest of the key as the zone.
+func (testSchema) Evacuation(item storer.Item) (string, bool, error) {
+	zone, ok := strings.CutPrefix(item.Key, "operators/evacuate/")
+	if ok && zone == "" {
+		return "", false, errors.New("no zone")
+	}
+	return zone, ok, nil
+}
+
 func (testSchema) WaveStatus(state orchestrator.WaveState) (storer.Put, error) {
 	return storer.Put{
 		Key:   fmt.Sprintf("status/wave/%d", state.Number),
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +27,8 @@
 	Configuration int64          `json:"configuration"`
 	Cells         []CellStatus   `json:"cells"`
 	Waves         []WaveStatus   `json:"waves"`
+	// Evacuations are the evacuated availability zones, with the runs that are left there.
+	Evacuations []orchestrator.ZoneRuns `json:"evacuations,omitempty"`
 	// Problems are entries that can't be read.
 	Problems []string `json:"problems,omitempty"`
 }
@@ -92,6 +95,8 @@
 		rosters: map[string]int{},
 		waves:   map[int]orchestrator.Wave{},
 		done:    map[int]int{},
+
+		evacuated: map[string]int{},
 		view: newFleetView(Config{
 			Logger: hclog.NewNullLogger(),
 			Clock:  func() time.Duration { return 0 },
@@ -122,6 +127,8 @@
 	rosters  map[string]int
 	waves    map[int]orchestrator.Wave
 	done     map[int]int // maintained VMs by wave
+
+	evacuated map[string]int // runs that are left, by availability zone
 }
 
 func (r *statusReader) read(item storer.Item) error {
@@ -133,6 +140,13 @@
 		}
 		r.status.Configuration, r.revision = conf.Version, item.Version
 	case strings.HasPrefix(key, r.schema.OperatorPrefix()):
+		zone, ok, err := r.schema.Evacuation(item)
+		if ok || err != nil {
+			if err == nil {
+				r.evacuated[zone] = 0
+			}
+			return err
+		}
 		wave, ok, err := r.schema.Wave(item)
 		if ok && err == nil {
 			r.waves[wave.Number] = wave
@@ -183,10 +197,31 @@
 			Complete:   complete,
 		})
 	}
+	s.Evacuations = r.evacuations(*layout)
 	slices.SortFunc(s.Waves, func(a, b WaveStatus) int { return a.Number - b.Number })
 	return s
 }
 
+// evacuations returns the evacuated zones with the runs that the cells have reported, sorted.
+func (r *statusReader) evacuations(layout partitioner.Layout) []orchestrator.ZoneRuns {
+	for _, cell := range layout.Cells() {
+		report, _, _ := r.view.report(cell)
+		for _, z := range report.Evacuated {
+			if _, evacuated := r.evacuated[z.Zone]; evacuated {
+				r.evacuated[z.Zone] += z.Runs
+			}
+		}
+	}
+	var evacuations []orchestrator.ZoneRuns
+	for _, zone := range slices.Sorted(maps.Keys(r.evacuated)) {
+		evacuations = append(evacuations, orchestrator.ZoneRuns{
+			Zone: zone,
+			Runs: r.evacuated[zone],
+		})
+	}
+	return evacuations
+}
+
 func (r *statusReader) cell(layout partitioner.Layout, cell string) CellStatus {
 	owner := r.owners[cell]
 	report, _, reported := r.view.report(cell)
--- a/internal/manager/transfer.go
+++ b/internal/manager/transfer.go
@@ -78,6 +78,7 @@
 	conf, _, _ := o.settings.state()
 	homes := o.layout.Homes(t.Job.Team, conf.Engine.Teams[t.Job.Team].Limit)
 	homes = slices.DeleteFunc(homes, func(c string) bool { return c == o.cell })
+	homes = o.layout.OpenCells(homes, o.settings.evacuatedZones())
 	var here time.Duration
 	for _, load := range own {
 		if load.Pool == t.Pool {
--- a/internal/recorder/jobs.go
+++ b/internal/recorder/jobs.go
@@ -19,6 +19,7 @@
 	OperatorKeysAge    = "comfreyford_store_knowledge_age"
 	PoolTargets        = "comfreyford_pool_targets"
 	PoolCores          = "comfreyford_pool_cores"
+	EvacuatedRuns      = "comfreyford_evacuated_zone_runs"
 	ConfigVersion      = "comfreyford_configuration_version"
 	noneValue          = "none"
 )
@@ -115,6 +116,13 @@
 			Labels: "pool, part",
 			Help:   "cores of a pool: capacity, busy, waiting for by work on time, late, offered; on the owner",
 		},
+		{
+			Name:   EvacuatedRuns,
+			Kind:   KindGauge,
+			Unit:   "1",
+			Labels: "zone, cell",
+			Help:   "runs left in an evacuated availability zone; no series when none is evacuated; on the owner",
+		},
 	}
 }
 
--- a/pkg/orchestrator/attempt.go
+++ b/pkg/orchestrator/attempt.go
@@ -232,7 +232,7 @@
 	}
 	switch o.Kind {
 	case KindStart:
-		return a != nil && a.phase == phaseOrdered && o.incarnation == a.target.incarnation && len(a.target.otherLives) == 0
+		return a != nil && a.phase == phaseOrdered && !e.inEvacuatedZone(a.target) && o.incarnation == a.target.incarnation && len(a.target.otherLives) == 0
 	case KindStop:
 		return a == nil || a.phase == phaseStopping && (!a.stopUnlessListed || a.mayBeStoppedUnlisted(now))
 	default:
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -50,7 +50,7 @@
 	}
 	e.moves.pending = map[string]int{}
 	for id := range e.fleet.pendingOrders {
-		if vm, ok := e.fleet.vms[id]; ok {
+		if vm, ok := e.fleet.vms[id]; ok && !e.fleet.isEvacuated(vm.Zone) {
 			e.moves.pending[e.fleet.destination(&vm)]++
 		}
 	}
@@ -70,6 +70,7 @@
 			movesLeft -= e.addVMs(p, p.shortage(now)+p.demand.lateMillicores, movesLeft, now)
 		}
 	}
+	movesLeft -= e.parkEvacuated(e.sparePool(), movesLeft, now)
 	e.park(movesLeft, now)
 }
 
@@ -235,7 +236,7 @@
 	minUsable := e.minTargets(moveMinShare)
 	for _, id := range slices.Sorted(maps.Keys(e.fleet.vms)) {
 		vm := e.fleet.vms[id]
-		if vm.Pool == pool || !e.orderable(vm, now) {
+		if vm.Pool == pool || e.fleet.isEvacuated(vm.Zone) || !e.orderable(vm, now) {
 			continue
 		}
 		if e.spare(vm.Pool) {
@@ -321,15 +322,21 @@
 	return sum / max(1, n)
 }
 
-// park moves VMs that have been idle for parkDelay to a spare pool, where they cost nothing.
-func (e *Engine) park(maxMoves int, now time.Duration) {
-	minUsable := e.minTargets(parkMinShare)
+// sparePool returns the spare pool to which VMs go, or "" if there is none.
+func (e *Engine) sparePool() string {
 	to := ""
 	for _, name := range slices.Sorted(maps.Keys(e.conf.Pools)) {
 		if e.spare(name) {
 			to = name
 		}
 	}
+	return to
+}
+
+// park moves VMs that have been idle for parkDelay to a spare pool, where they cost nothing.
+func (e *Engine) park(maxMoves int, now time.Duration) {
+	minUsable := e.minTargets(parkMinShare)
+	to := e.sparePool()
 	if to == "" {
 		return
 	}
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -244,6 +244,7 @@
 	e.resolveUnconfirmed(now)
 	e.pace(now)
 	e.maintain(now)
+	e.vacate(now)
 	e.plan(now)
 	e.start(now)
 	e.rebalance(now)
--- a/pkg/orchestrator/order.go
+++ b/pkg/orchestrator/order.go
@@ -160,7 +160,8 @@
 	Labels        []string
 	Capacity      jobkeeper.Resources
 	Draining      bool
-	StartedUnixMS int64  // Unix ms at which the target's process started; zero if not stated
-	Sequence      int64  // rises with each registration of a life; zero if not stated
-	VM            string // empty if the target does not state it
+	StartedUnixMS int64         // Unix ms at which the target's process started; zero if not stated
+	Sequence      int64         // rises with each registration of a life; zero if not stated
+	VM            string        // empty if the target does not state it
+	ColdFor       time.Duration // how much longer the target is slow after its start
 }
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -59,6 +59,7 @@
 	for id, vm := range e.fleet.vms {
 		_, ordered := e.fleet.pendingOrders[id]
 		switch {
+		case e.fleet.isEvacuated(vm.Zone):
 		case ordered && e.fleet.destination(&vm) == p.name, !ordered && vm.State == VMUp && e.spare(vm.Pool):
 			sum += vm.Capacity.CPUMillis
 		case vm.Pool != p.name && !ordered && vm.State == VMUp:
--- a/pkg/orchestrator/restart.go
+++ b/pkg/orchestrator/restart.go
@@ -140,7 +140,7 @@
 	t.unrecordable = nil
 	t.clockMS, t.clockAt, t.deadlineMS = 0, 0, 0
 	t.listed = false
-	t.slowdown = 1
+	t.slowdown, t.coldUntil = 1, 0
 	t.removing = false
 	t.vmOrdered = false
 	t.terminated = false
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -57,6 +57,7 @@
 	latencySensitive int           // runs with a latency target
 	bestEffort       int           // runs that use processors which other tasks leave unused
 	slowdown         float64       // moving average of the time that runs take here relative to elsewhere, at least 1
+	coldUntil        time.Duration // until then it is slow because it started lately
 	closedUntil      time.Duration // no new starts before this time, after an order that failed
 	evacuating       bool          // it is emptied because its VM is next to be maintained
 	evacuatingSince  time.Duration // when evacuating was last set
@@ -136,6 +137,7 @@
 		t.VM = vm
 	}
 	t.registered = true
+	t.coldUntil = now + r.ColdFor
 	if moved {
 		e.regroupDue = true
 	}
@@ -237,7 +239,7 @@
 // usable reports whether the target may get new work.
 func (e *Engine) usable(t *target, now time.Duration) bool {
 	switch {
-	case !t.registered, t.Draining, t.evacuating, t.removing, t.terminated, t.cordoned:
+	case !t.registered, t.Draining, t.evacuating, t.removing, t.terminated, t.cordoned, e.inEvacuatedZone(t):
 		return false
 	case !t.listed, t.unexpectedRuns > 0, t.failedAt != 0, now < t.closedUntil, len(t.otherLives) > 0:
 		return false
@@ -259,7 +261,7 @@
 			Labels:              t.Labels,
 			Capacity:            t.Capacity,
 			Used:                t.used,
-			Slowdown:            t.slowdown,
+			Slowdown:            max(t.slowdown, coldSlowdown(t.coldUntil, now)),
 			Idle:                len(t.attempts) == 0,
 			Closed:              !e.usable(t, now),
 			AwaitingMaintenance: e.fleet.awaitingMaintenance[t.VM],
--- a/pkg/orchestrator/targets_test.go
+++ b/pkg/orchestrator/targets_test.go
@@ -296,6 +296,9 @@
 
 func (w *world) startOn(f *fakeTarget, o orchestrator.Order) orchestrator.Outcome {
 	step := w.jobs[o.Task.Job].Steps[o.Task.Step]
+	if w.evacuated[f.Zone] {
+		w.fail("%s starts on %s in the evacuated zone %s", o.Task, f.ID, f.Zone)
+	}
 	switch {
 	case f.refusals > 0:
 		f.refusals--
--- a/pkg/orchestrator/transfer.go
+++ b/pkg/orchestrator/transfer.go
@@ -42,9 +42,13 @@
 		return nil
 	}
 	var stranded, waiting []Transfer
+	patience := transferAfter
+	if e.wholeCellEvacuated() {
+		patience = 0
+	}
 	for _, j := range e.active {
 		waited := now - j.readySince(now)
-		if len(stranded) >= n || waited < transferAfter || !j.mayTransfer(now) {
+		if len(stranded) >= n || waited < patience || !j.mayTransfer(now) {
 			continue
 		}
 		p := e.pool(e.poolOf(j))
--- a/pkg/orchestrator/trial.go
+++ b/pkg/orchestrator/trial.go
@@ -166,7 +166,7 @@
 func (e *Engine) afterTrials(p *pool, s *stepState, views []packer.Target) []packer.Target {
 	own := append([]packer.Target(nil), views...)
 	for i, t := range p.targets {
-		own[i].Closed = own[i].Closed && t.trials == 0
+		own[i].Closed = own[i].Closed && (t.trials == 0 || e.inEvacuatedZone(t))
 	}
 	return e.viewFor(own, s)
 }
--- a/pkg/orchestrator/wave.go
+++ b/pkg/orchestrator/wave.go
@@ -43,6 +43,8 @@
 	awaitingMaintenance map[string]bool
 	retryAt             map[string]time.Duration
 	waves               map[int]*wave
+	// evacuated holds the evacuated availability zones, with the time since which they are known.
+	evacuated map[string]time.Duration
 }
 
 type wave struct {
@@ -61,11 +63,11 @@
 	return vm.Pool
 }
 
-// movingTo returns the VMs with a pending order to move to a pool.
+// movingTo returns the VMs with a pending order to move to a pool where they can get work.
 func (f *fleet) movingTo(pool string) []VM {
 	var vms []VM
 	for id, to := range f.destinations {
-		if vm, listed := f.vms[id]; listed && to == pool {
+		if vm, listed := f.vms[id]; listed && to == pool && !f.isEvacuated(vm.Zone) {
 			vms = append(vms, vm)
 		}
 	}
@@ -86,6 +88,7 @@
 		awaitingMaintenance: map[string]bool{},
 		retryAt:             map[string]time.Duration{},
 		waves:               map[int]*wave{},
+		evacuated:           map[string]time.Duration{},
 	}
 }
 
@@ -156,12 +159,12 @@
 
 // maintain continues all active waves.
 func (e *Engine) maintain(now time.Duration) {
-	if now < e.cfg.AcquiredAt+e.cfg.VMOrderDelay || e.fleet.listedAt == 0 {
-		return
-	}
 	for _, p := range e.pools {
 		p.displaced = p.displaced[:0]
 	}
+	if now < e.cfg.AcquiredAt+e.cfg.VMOrderDelay || e.fleet.listedAt == 0 {
+		return
+	}
 	clear(e.fleet.awaitingMaintenance)
 	preparing := map[string]bool{}
 	for _, w := range e.fleet.waves {
@@ -266,7 +269,8 @@
 }
 
 // sortByEffort sorts VMs by the work needed to empty them: first those that are being
-// emptied, then by the number of runs.
+// emptied, then those of evacuated zones, whose loss costs no capacity, unless they have
+// long-running tasks, then by the number of runs.
 func (e *Engine) sortByEffort(vms []string) {
 	effort := map[string]int{}
 	for _, vm := range vms {
@@ -278,6 +282,9 @@
 		if t.evacuating {
 			effort[vm] -= 1000
 		}
+		if e.inEvacuatedZone(t) && !t.hasLongRunning() {
+			effort[vm] -= 500
+		}
 	}
 	sort.SliceStable(vms, func(i, j int) bool { return effort[vms[i]] < effort[vms[j]] })
 }
--- a/pkg/orchestrator/world_test.go
+++ b/pkg/orchestrator/world_test.go
@@ -40,7 +40,9 @@
 	gangCheckpoints map[runKey]string
 	gangTimeouts    int // runs that ended because other members of their gang did not start
 	// cancelled jobs must not start again.
-	cancelled    map[string]bool
+	cancelled map[string]bool
+	// evacuated zones must get no starts.
+	evacuated    map[string]bool
 	storeDown    bool
 	vmListDown   bool          // the list of VMs can't be read
 	clockOffset  time.Duration // of the clock of the owner's daemon
@@ -106,6 +108,7 @@
 		FirstOwner:       len(w.roster) == 0,
 	})
 	w.engine.Configure(w.conf)
+	w.engine.SetEvacuatedZones(w.evacuated, w.now)
 	for _, id := range sortedKeys(w.jobs) {
 		w.addJob(id)
 	}
@@ -151,6 +154,15 @@
 	}
 }
 
+// evacuate replaces the availability zones that are evacuated.
+func (w *world) evacuate(zones ...string) {
+	w.evacuated = map[string]bool{}
+	for _, zone := range zones {
+		w.evacuated[zone] = true
+	}
+	w.engine.SetEvacuatedZones(w.evacuated, w.now)
+}
+
 func (w *world) cancel(id string) {
 	w.cancelled[id] = true
 	w.engine.Cancel(id, w.now, w.wall())
@@ -290,6 +302,7 @@
 			ID:       f.VM,
 			Pool:     f.Pool,
 			State:    f.state,
+			Zone:     f.Zone,
 			Labels:   f.Labels,
 			Capacity: f.Capacity,
 		}
