--- a/internal/manager/fleet_view.go
+++ b/internal/manager/fleet_view.go
@@ -45,6 +45,8 @@
 	OverShare map[string]jobkeeper.Resources `cbor:"5,keyasint,omitempty"`
 	// Durations are those that the owner has learned, renewed every publishRefresh.
 	Durations []orchestrator.QueueDurations `cbor:"6,keyasint,omitempty"`
+	// Evacuated holds the runs that are left in evacuated availability zones.
+	Evacuated []orchestrator.ZoneRuns `cbor:"7,keyasint,omitempty"`
 }
 
 // poolReport is the part of a cell's report on a pool.
--- a/internal/manager/metrics.go
+++ b/internal/manager/metrics.go
@@ -36,6 +36,7 @@
 		r.RegisterGauge(recorder.PoolTargets, func() []recorder.Sample { return m.poolSamples(usableTargets) }),
 		r.RegisterGauge(recorder.PoolCores, func() []recorder.Sample { return m.poolSamples(poolCores) }),
 		r.RegisterGauge(recorder.PoolForecastError, func() []recorder.Sample { return m.poolSamples(forecastError) }),
+		r.RegisterGauge(recorder.EvacuatedRuns, m.evacuatedSamples),
 	)
 }
 
@@ -60,6 +61,30 @@
 	return o.engine.InterferingPairs()
 }
 
+// evacuatedSamples returns the runs that are left in evacuated availability zones, by zone and
+// cell, in the cells that this daemon owns.
+func (m *Manager) evacuatedSamples() []recorder.Sample {
+	var samples []recorder.Sample
+	for _, o := range m.runningOwners() {
+		for _, z := range o.evacuatedZones() {
+			samples = append(samples, recorder.Sample{
+				Value:  float64(z.Runs),
+				Labels: []attribute.KeyValue{attribute.String("zone", z.Zone), attribute.String("cell", o.cell)},
+			})
+		}
+	}
+	return samples
+}
+
+func (o *owner) evacuatedZones() []orchestrator.ZoneRuns {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.engine == nil {
+		return nil
+	}
+	return o.engine.EvacuatedZones()
+}
+
 // poolSamples returns samples of each pool in the cells that this daemon owns.
 func (m *Manager) poolSamples(sample func(p *orchestrator.PoolState) []recorder.Sample) []recorder.Sample {
 	var samples []recorder.Sample
--- a/internal/manager/recorder.go
+++ b/internal/manager/recorder.go
@@ -327,6 +327,7 @@
 		Queues:        o.engine.QueueStates(now),
 		Configuration: o.configRevision,
 		OverShare:     o.overShare(),
+		Evacuated:     o.engine.EvacuatedZones(),
 	}
 	if o.durations == nil || now-o.durationsAt >= publishRefresh {
 		o.durations, o.durationsAt = o.engine.Durations(), now
--- a/internal/recorder/jobs.go
+++ b/internal/recorder/jobs.go
@@ -23,6 +23,7 @@
 	PoolCores          = "comfreyford_pool_cores"
 	PoolForecastError  = "comfreyford_pool_forecast_error"
 	VMsAhead           = "comfreyford_vms_ahead"
+	EvacuatedRuns      = "comfreyford_evacuated_zone_runs"
 	ConfigVersion      = "comfreyford_configuration_version"
 	noneValue          = "none"
 )
@@ -150,6 +151,13 @@
 			Labels: "pool",
 			Help:   "VMs ordered for the forecast load of a pool, before the load came; on the owner",
 		},
+		{
+			Name:   EvacuatedRuns,
+			Kind:   KindGauge,
+			Unit:   "1",
+			Labels: "zone, cell",
+			Help:   "runs left in an evacuated availability zone; no series when none is evacuated; on the owner",
+		},
 	}
 }
 
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -71,6 +71,7 @@
 	for id, vm := range e.fleet.vms {
 		_, pending := e.fleet.pendingOrders[id]
 		switch {
+		case e.fleet.isEvacuated(vm.Zone):
 		case pending:
 			if e.fleet.destination(&vm) == p.name {
 				ordered += vm.Capacity.CPUMillis
--- a/pkg/orchestrator/wave_order.go
+++ b/pkg/orchestrator/wave_order.go
@@ -62,12 +62,13 @@
 	return longest
 }
 
-// sort sorts VMs: first those that are being emptied, then those of the longest series, then by
-// the number of runs.
+// sort sorts VMs: first those that are being emptied, then those of the longest series, those of
+// evacuated zones, whose loss costs no capacity, and then by the number of runs.
 func (o *waveOrder) sort(vms []string) {
 	type rank struct {
-		turns, runs int
-		evacuating  bool
+		turns, runs   int
+		evacuating    bool
+		zoneEvacuated bool // availability zone is evacuated
 	}
 	ranks := map[string]rank{}
 	for _, vm := range vms {
@@ -77,6 +78,7 @@
 		if t := o.engine.targetOn(vm); t != nil {
 			r.runs = len(t.attempts)
 			r.evacuating = t.evacuating
+			r.zoneEvacuated = o.engine.inEvacuatedZone(t)
 		}
 		ranks[vm] = r
 	}
@@ -87,6 +89,8 @@
 			return a.evacuating
 		case a.turns != b.turns:
 			return a.turns > b.turns
+		case a.zoneEvacuated != b.zoneEvacuated:
+			return a.zoneEvacuated
 		}
 		return a.runs < b.runs
 	})
--- a/pkg/orchestrator/world_test.go
+++ b/pkg/orchestrator/world_test.go
@@ -41,6 +41,8 @@
 	gangTimeouts    int // runs that ended because other members of their gang did not start
 	// cancelled jobs must not start again.
 	cancelled map[string]bool
+	// evacuated zones must get no starts.
+	evacuated map[string]bool
 	storeDown bool
 	// ignoreInterference is passed to the engine.
 	ignoreInterference bool
@@ -113,6 +115,7 @@
 		IgnoreInterference: w.ignoreInterference,
 	})
 	w.engine.Configure(w.conf)
+	w.engine.SetEvacuatedZones(w.evacuated, w.now)
 	for _, id := range sortedKeys(w.jobs) {
 		w.addJob(id)
 	}
@@ -158,6 +161,15 @@
 	}
 }
 
+// evacuate replaces the availability zones that are evacuated.
+func (w *world) evacuate(zones ...string) {
+	w.evacuated = map[string]bool{}
+	for _, zone := range zones {
+		w.evacuated[zone] = true
+	}
+	w.engine.SetEvacuatedZones(w.evacuated, w.now)
+}
+
 func (w *world) cancel(id string) {
 	w.cancelled[id] = true
 	w.engine.Cancel(id, w.now, w.wall())
@@ -299,6 +311,7 @@
 			ID:       f.VM,
 			Pool:     f.Pool,
 			State:    f.state,
+			Zone:     f.Zone,
 			Labels:   f.Labels,
 			Capacity: f.Capacity,
 		}
