drainer: receive buffers of callers are bounded

Cause: bytes that have arrived and that nobody has read count towards the VM's memory; the system lets the receive buffer of a connection grow to megabytes, while the process works on earlier requests of it.

Change: the listeners of manage and entry give accepted connections 32 KiB.

--- a/internal/coordinator/servers.go
+++ b/internal/coordinator/servers.go
@@ -89,6 +89,7 @@
 		opened, err := drainer.New(h.address, drainer.Config{
 			Handler:        h.handler,
 			Budget:         h.budget,
+			ReceiveBuffer:  budgeter.ReceiveBuffer,
 			HeldBodyBytes:  max(s.JournalBodyLimitBytes, s.OperatorBodyLimitBytes),
 			MaxHeaderBytes: maxHeaderBytes,
 			Refuse:         h.refuse,
--- a/internal/drainer/budget_test.go
+++ b/internal/drainer/budget_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/comfreyford/comfreyford/pkg/budgeter"
@@ -97,6 +98,39 @@
 	}
 }
 
+// Guards against a receive buffer that grows with what a caller sends: accepted connections inherit
+// the size of the listener's.
+func TestAcceptedConnectionsHaveBoundedReceiveBuffers(t *testing.T) {
+	l, err := listen("127.0.0.1:0", budgeter.ReceiveBuffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close() //nolint:errcheck // ends with the test
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close() //nolint:errcheck // ends with the test
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck // ends with the test
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	size := 0
+	if controlErr := raw.Control(func(fd uintptr) {
+		size, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF)
+	}); controlErr != nil || err != nil {
+		t.Fatal(controlErr, err)
+	}
+	if size > 2*budgeter.ReceiveBuffer {
+		t.Errorf("the buffer has %d bytes", size)
+	}
+}
+
 // Guards against a refusal that comes only when the caller has sent a body that nobody reads, and
 // against one that does not say when to come back.
 func TestRefusalComesBeforeTheBody(t *testing.T) {
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -52,6 +52,9 @@
 	Refuse func(w http.ResponseWriter)
 	// MaxHeaderBytes bounds the header of a request; zero: the bound of net/http.
 	MaxHeaderBytes int
+	// ReceiveBuffer bounds the bytes that a caller has sent and nobody has read, for each connection;
+	// zero: the bound of the system.
+	ReceiveBuffer int
 	// Refused is called for each caller that is refused or disconnected for want of room; it must
 	// not block. It may be nil.
 	Refused func(Refusal)
@@ -84,7 +87,7 @@
 // New listens on the TCP address. The error wraps that of package net if the address is
 // in use or malformed.
 func New(address string, cfg Config) (*Server, error) {
-	l, err := listen(address)
+	l, err := listen(address, cfg.ReceiveBuffer)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/drainer/listener.go
+++ b/internal/drainer/listener.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -24,8 +25,24 @@
 	err     error         // of Close
 }
 
-func listen(address string) (*listener, error) {
-	l, err := net.Listen("tcp", address)
+// listen listens on the address. Accepted connections inherit the size of the receive buffer; zero
+// leaves it to the system.
+func listen(address string, receiveBuffer int) (*listener, error) {
+	cfg := net.ListenConfig{
+		Control: func(_, _ string, socket syscall.RawConn) error {
+			if receiveBuffer == 0 {
+				return nil
+			}
+			var err error
+			if controlErr := socket.Control(func(fd uintptr) {
+				err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+			}); controlErr != nil {
+				return controlErr
+			}
+			return err
+		},
+	}
+	l, err := cfg.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/pkg/budgeter/limits.go
+++ b/pkg/budgeter/limits.go
@@ -14,6 +14,10 @@
 	// HeaderCost is what a byte of a header becomes at most when it is decoded.
 	HeaderCost = 16
 
+	// ReceiveBuffer is the size of a connection's receive buffer. The kernel takes up to twice as
+	// much; a body of 256 KiB takes some ten round trips.
+	ReceiveBuffer = 32 << 10
+
 	// requestPart and connectionPart are the parts of a VM's memory for requests and for
 	// connections without one: one of each. The collector may need as much again.
 	requestPart    = 8
