attributor: no counter of confirmed pairs, nothing decided on the shared entry

Cause: the counter was kept for a look at the table that takes a microsecond; an effect of the entry that further kinds share would have accused all of them. An end that is listed after a time without contact was observed with that time.

--- a/pkg/attributor/attributor.go
+++ b/pkg/attributor/attributor.go
@@ -61,8 +61,8 @@
 
 // Config configures an Attributor.
 type Config struct {
-	// MaxKinds is the number of kinds that are told apart; further ones share one. Zero selects
-	// the default.
+	// MaxKinds is the number of kinds that are told apart. Further ones share one, which takes the
+	// blame for what they do from the others, and is never confirmed. Zero selects the default.
 	MaxKinds int
 }
 
@@ -137,11 +137,10 @@
 
 // Attributor holds the estimates for the targets of one owner.
 type Attributor struct {
-	maxKinds  int
-	index     map[Kind]int
-	slots     []slot // the first one is shared by kinds without a slot of their own
-	confirmed int
-	changes   []change // scratch space
+	maxKinds int
+	index    map[Kind]int
+	slots    []slot   // the first one is shared by kinds without one of their own
+	changes  []change // scratch space
 }
 
 // change is how much more of a kind ran beside a run than before.
@@ -233,7 +232,7 @@
 		e.mean = max(0, e.mean+gain*difference) // no neighbour makes a task faster
 		e.variance -= gain * scale * c.weight * e.variance
 		e.observeOn(target, now)
-		a.settle(e, now)
+		e.settle(now)
 	}
 	s.noise += noiseWeight * (difference*difference - uncertainty - s.noise)
 	s.noise = max(minNoise, min(maxNoise, s.noise))
@@ -307,8 +306,10 @@
 		a.slots = append(a.slots, slot{})
 	}
 	a.index[k] = i
-	a.release(i)
 	a.slots[i].reset(k, now, a.maxKinds+1)
+	for n := range a.slots {
+		a.slots[n].effects[i] = effect{}
+	}
 	return i
 }
 
@@ -324,67 +325,34 @@
 	return idle
 }
 
-// release removes what is known of a slot as a neighbour and as the observed kind.
-func (a *Attributor) release(i int) {
-	for k := range a.slots {
-		s := &a.slots[k]
-		for n := range s.effects {
-			if (k == i || n == i) && s.effects[n].confirmed {
-				a.confirmed--
-			}
-		}
-		if len(s.effects) > i {
-			s.effects[i] = effect{}
-		}
-	}
-}
-
-// lookup returns the estimate for a pair. Kinds that were never observed have the shared one.
-func (a *Attributor) lookup(kind, neighbour Kind) *effect {
-	return &a.slots[a.index[kind]].effects[a.index[neighbour]]
-}
-
 // settle updates whether an effect is confirmed.
-func (a *Attributor) settle(e *effect, now time.Duration) {
+func (e *effect) settle(now time.Duration) {
 	deviations := confidence
 	if e.confirmed {
 		deviations = doubt
 	}
-	confirmed := e.mean-deviations*math.Sqrt(e.variance) > math.Log(tolerated) && e.earlier != "" && now-e.earlierAt < targetMemory
-	switch {
-	case confirmed && !e.confirmed:
-		a.confirmed++
-	case !confirmed && e.confirmed:
-		a.confirmed--
-	}
-	e.confirmed = confirmed
+	e.confirmed = e.mean-deviations*math.Sqrt(e.variance) > math.Log(tolerated) && e.earlier != "" && now-e.earlierAt < targetMemory
 }
 
-// Confirmed returns the number of pairs whose effect was confirmed when it was last observed or
-// read.
-func (a *Attributor) Confirmed() int { return a.confirmed }
-
 // Pair is a kind and one that disturbs it.
 type Pair struct {
 	Kind, Neighbour Kind
 }
 
-// Pairs returns the pairs whose effect is confirmed now. Kinds without estimates of their own are
-// named "".
+// Pairs returns the pairs whose effect is confirmed now.
 func (a *Attributor) Pairs(now time.Duration) map[Pair]Effect {
-	if a.confirmed == 0 {
-		return nil
-	}
 	pairs := map[Pair]Effect{}
-	for i := range a.slots {
-		for n := range a.slots[i].effects {
-			if e := &a.slots[i].effects[n]; e.confirmed {
-				if x := a.read(e, now); x.Confirmed {
-					pairs[Pair{
-						Kind:      a.slots[i].kind,
-						Neighbour: a.slots[n].kind,
-					}] = x
-				}
+	for i := 1; i < len(a.slots); i++ {
+		for n := 1; n < len(a.slots); n++ {
+			e := &a.slots[i].effects[n]
+			if !e.confirmed {
+				continue
+			}
+			if x := e.read(now); x.Confirmed {
+				pairs[Pair{
+					Kind:      a.slots[i].kind,
+					Neighbour: a.slots[n].kind,
+				}] = x
 			}
 		}
 	}
@@ -394,14 +362,15 @@
 // Kinds returns the number of kinds that are told apart.
 func (a *Attributor) Kinds() int { return len(a.index) }
 
-// Effect returns the effect of a neighbour of the given kind on tasks of another kind.
+// Effect returns the effect of a neighbour of the given kind on tasks of another kind. Kinds that
+// are not told apart have that of the shared one.
 func (a *Attributor) Effect(kind, neighbour Kind, now time.Duration) Effect {
-	return a.read(a.lookup(kind, neighbour), now)
+	return a.slots[a.index[kind]].effects[a.index[neighbour]].read(now)
 }
 
-func (a *Attributor) read(e *effect, now time.Duration) Effect {
+func (e *effect) read(now time.Duration) Effect {
 	e.advance(now)
-	a.settle(e, now)
+	e.settle(now)
 	margin := confidence * math.Sqrt(e.variance)
 	return Effect{
 		Factor:    math.Exp(e.mean),
--- a/pkg/orchestrator/interference.go
+++ b/pkg/orchestrator/interference.go
@@ -129,6 +129,9 @@
 	if a.confirmedAt == 0 || a.phase != phaseRunning || now-since < shortest {
 		return
 	}
+	if done && a.target.regainedAt == now {
+		return // it ended at an unknown time
+	}
 	ratio := a.latencyRatio()
 	if a.task.step.step.TailLatencyTargetMS <= 0 {
 		ratio = a.durationRatio(now-since, e.cfg.RemoteFactor, done)
--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -26,6 +26,7 @@
 	t.setClock(l.ClockMS, now)
 	if t.failedAt != 0 {
 		e.cfg.Logger.Info("target lists its runs again", "target", t.ID, "pool", t.Pool, "running", len(l.Running))
+		t.regainedAt = now
 	}
 	t.failedAt = 0
 	t.crashRecorded = false
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -35,6 +35,7 @@
 	listedAt    time.Duration // when the last lists that arrived were requested
 	answeredAt  time.Duration // when the last lists arrived
 	failedAt    time.Duration // when a call first failed since the last lists; zero if none did
+	regainedAt  time.Duration // when lists last arrived after a call had failed
 	// failedTrialAt is when the trial was ordered that was under way at failedAt; zero if none was.
 	failedTrialAt time.Duration
 	clockMS       int64 // its clock at clockAt
--- a/pkg/packer/packer.go
+++ b/pkg/packer/packer.go
@@ -52,10 +52,10 @@
 const (
 	remoteWeight     = 4.0 // a remote task takes 1.5 times as long
 	slowWeight       = 8.0
-	disturbedWeight  = remoteWeight
-	interferenceCost = 0.5 // for each latency-sensitive task beside a best-effort one, or the reverse
-	idleTargetCost   = 0.3 // keeps idle targets free, so that their VMs can be moved
-	interruptionCost = 8.0 // a long-running task would be interrupted once more
+	disturbedWeight  = remoteWeight // for a task that takes twice as long
+	interferenceCost = 0.5          // for each latency-sensitive task beside a best-effort one, or the reverse
+	idleTargetCost   = 0.3          // keeps idle targets free, so that their VMs can be moved
+	interruptionCost = 8.0          // a long-running task would be interrupted once more
 )
 
 // Choose returns the index of the target with the lowest cost for one task, or -1 if none is
