orchestrator: a placement beside a task without headroom names it

Cause: the line about a best-effort task that avoids a target where a served task is near its target had an empty neighbour.

--- a/pkg/orchestrator/interference.go
+++ b/pkg/orchestrator/interference.go
@@ -29,7 +29,7 @@
 	minObservedPercent = 5
 	// maxKindBytes bounds the name of a kind, which callers choose.
 	maxKindBytes = 128
-	// maxInterference bounds the expected slowdown on which a target is left out of preference.
+	// maxInterference bounds the expected loss that counts against a target.
 	maxInterference = 2
 	// nearTargetCost is the slowdown at which a latency-sensitive task counts that has no headroom,
 	// when a best-effort task is placed beside it.
@@ -192,6 +192,7 @@
 
 func (d disturbances) none() bool { return len(d.suffered)+len(d.caused) == 0 }
 
+// disturbances returns the effects that tasks of a kind suffer and cause, as of the last review.
 func (e *Engine) disturbances(kind attributor.Kind) disturbances {
 	var d disturbances
 	for pair, x := range e.interference.pairs {
@@ -211,6 +212,7 @@
 	return d
 }
 
+// factorOf returns the factor of a kind in the list, or 1.
 func factorOf(list []disturbance, kind attributor.Kind) float64 {
 	for _, d := range list {
 		if d.kind == kind {
@@ -295,7 +297,7 @@
 }
 
 // worstNeighbour returns the kind on a target that disturbs tasks of the step, or is disturbed by
-// them, the most.
+// them, the most. Without any it is a latency-sensitive one without headroom.
 func (e *Engine) worstNeighbour(s *stepState, t *target) (attributor.Kind, float64) {
 	var worst attributor.Kind
 	greatest := 1.0
@@ -305,6 +307,10 @@
 		if f := max(factorOf(d.suffered, kind), factorOf(d.caused, kind)); f > greatest {
 			worst, greatest = kind, f
 		}
+		limit := float64(n.task.step.step.TailLatencyTargetMS)
+		if worst == "" && limit > 0 && n.measurement > paceHeadroom*limit {
+			worst = kind
+		}
 	}
 	return worst, greatest
 }
@@ -333,7 +339,8 @@
 		"took_ms", (now - a.confirmedAt).Milliseconds(), "factor", round(total), "neighbour", string(worst))
 }
 
-// reviewInterference logs which pairs of kinds have begun or ceased to disturb each other.
+// reviewInterference updates the pairs of kinds that placements take into account, and logs which
+// have begun or ceased to disturb each other.
 func (e *Engine) reviewInterference(now time.Duration) {
 	i := &e.interference
 	if now-i.reviewedAt < interferenceReview {
