admission: accept by what can still be in time, and measure wrong predictions

Cause: the front refused by the wait behind all accepted work, late work included, although new work that is on time comes first; by a report up to 0.3 s old as if nothing had been accepted since; and without regard to the upper limit of the team. Nobody knew how often it was wrong.

Change: owners report the wait behind work on time, the waits of teams at their limits, and the inflow; the front extrapolates by the inflow, and accepts what can be on time behind work on time or of use behind all work. A refusal logs its inputs. One job in 32 that would be refused is accepted as a probe; comfreyford_job_predictions_total counts ends by queue and reason of admission. The plan draws large jobs once, not in each comparison.

With the acceptance of work on time switched off TestAdmit and TestAdmissionByTheReportOfTheOwner fail; without the inflow or the waits of teams the latter.

--- a/internal/manager/admission.go
+++ b/internal/manager/admission.go
@@ -16,6 +16,9 @@
 	// markTTL is how long a mark stays in the store. A delayed write or repeat of an earlier
 	// attempt arrives within seconds.
 	markTTL = time.Minute
+	// maxWaitAge bounds the time for which a reported wait is extrapolated: the inflow is an
+	// average over 0.6 s.
+	maxWaitAge = 600 * time.Millisecond
 )
 
 // admissionControl refuses jobs that would end too late to be of use to their callers, and marks
@@ -46,15 +49,25 @@
 	state := report.queue(a.route.Queue)
 	criticalPath := report.durations(a.route.Queue).CriticalPath(job)
 	objective := a.conf.Engine.Queues[a.route.Queue].Objective(criticalPath)
-	useful, retryAfter := sequencer.Admit(sequencer.Arrival{
-		Chain:     criticalPath,
-		Objective: objective,
-		Wait:      max(0, state.ExpectedWait-age),
-		Jitter:    retryJitter(job.ID),
-	})
+	age = min(age, maxWaitAge)
+	onTimeWait := max(state.OnTimeWait, state.TeamWaits[a.team])
+	arrival := sequencer.Arrival{
+		Chain:      criticalPath,
+		Objective:  objective,
+		Wait:       sequencer.WaitAt(max(state.ExpectedWait, onTimeWait), age, state.Inflow),
+		OnTimeWait: sequencer.WaitAt(onTimeWait, age, state.Inflow),
+		Jitter:     retryJitter(job.ID),
+	}
+	useful, retryAfter := sequencer.Admit(arrival)
+	if !useful && isProbe(job.ID) {
+		job.Probe = true
+		useful = true
+		c.cfg.Logger.Info("job accepted to check the prediction that it ends too late", "job", job.ID, "queue", a.route.Queue, "cell", cell)
+	}
 	if !useful {
 		c.cfg.Logger.Info("job would end too late to be of use", "job", job.ID, "queue", a.route.Queue, "team", a.team, "cell", cell,
-			"wait_ms", state.ExpectedWait.Milliseconds(), "report_age_ms", age.Milliseconds(), "chain_ms", criticalPath.Milliseconds(),
+			"wait_ms", arrival.Wait.Milliseconds(), "on_time_wait_ms", arrival.OnTimeWait.Milliseconds(), "inflow", state.Inflow,
+			"reported_wait_ms", state.ExpectedWait.Milliseconds(), "report_age_ms", age.Milliseconds(), "chain_ms", criticalPath.Milliseconds(), "estimated_chain_ms", job.CriticalPathMS(),
 			"objective_ms", objective.Milliseconds(), "retry_after_ms", retryAfter.Milliseconds())
 	}
 	return retryAfter, !useful
@@ -113,6 +126,18 @@
 	return lease, nil
 }
 
+// probeInterval is the number of jobs that would be refused of which one is accepted, so that the
+// share of wrong refusals is known.
+const probeInterval = 32
+
+// isProbe reports whether a job that would be refused is accepted. It depends only on the job ID, so
+// that each attempt of its caller has the same answer.
+func isProbe(id string) bool {
+	h := fnv.New32a()
+	h.Write([]byte("probe " + id))
+	return h.Sum32()%probeInterval == 0
+}
+
 // retryJitter returns a number in [0, 1) that depends only on the job ID.
 func retryJitter(id string) float64 {
 	h := fnv.New32a()
--- a/internal/manager/recorder.go
+++ b/internal/manager/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -306,7 +307,13 @@
 	}
 	r.Durations = o.durations
 	for i := range r.Queues {
-		r.Queues[i].ExpectedWait = r.Queues[i].ExpectedWait.Round(waitRounding)
+		q := &r.Queues[i]
+		q.ExpectedWait = q.ExpectedWait.Round(waitRounding)
+		q.OnTimeWait = q.OnTimeWait.Round(waitRounding / 4)
+		q.Inflow = math.Round(10*q.Inflow) / 10
+		for team, wait := range q.TeamWaits {
+			q.TeamWaits[team] = wait.Round(waitRounding)
+		}
 	}
 	if o.layout.Single() {
 		return r
--- a/internal/recorder/jobs.go
+++ b/internal/recorder/jobs.go
@@ -11,6 +11,7 @@
 	JobRequestDuration = "comfreyford_job_request_duration"
 	JobWait            = "comfreyford_job_wait"
 	JobDuration        = "comfreyford_job_duration"
+	JobPredictions     = "comfreyford_job_predictions"
 	TaskOrders         = "comfreyford_task_orders"
 	TaskEnds           = "comfreyford_task_ends"
 	VMOrders           = "comfreyford_vm_orders"
@@ -55,6 +56,13 @@
 			Labels: "queue, team, state",
 			Help:   "time from acceptance to the end of a job; on the owner",
 		},
+		{
+			Name:   JobPredictions,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "queue, admission, end",
+			Help:   "complete jobs by their end: on time, late, or useless after three times the objective; admission is useful, or probe for one that was accepted although its end was expected to be useless; on the owner",
+		},
 		{
 			Name:   TaskOrders,
 			Kind:   KindCounter,
@@ -169,6 +177,19 @@
 	}, took)
 }
 
+// JobPredicted counts a job that is complete, by the reason for its admission and how its end
+// relates to its objective.
+func (r *Recorder) JobPredicted(queue, admission, end string) {
+	r.count(JobPredictions, labelSet{
+		key1:   "queue",
+		value1: queue,
+		key2:   "admission",
+		value2: admission,
+		key3:   "end",
+		value3: end,
+	}.withNone())
+}
+
 // TaskOrder counts an order to a target.
 func (r *Recorder) TaskOrder(kind, outcome string) {
 	r.count(TaskOrders, kindOutcome(kind, outcome).withNone())
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -60,6 +60,7 @@
 	r.JobRequest("submit", "ok", time.Millisecond)
 	r.JobStarted("quotes", "schools", time.Millisecond)
 	r.JobEnded("quotes", "", "complete", time.Second)
+	r.JobPredicted("quotes", "useful", "on_time")
 	r.TaskOrder("start", "ok")
 	r.TaskEnd("desk", "done")
 	r.VMOrder("move", "ok")
--- a/pkg/jobkeeper/job.go
+++ b/pkg/jobkeeper/job.go
@@ -106,6 +106,9 @@
 	// Terms are those of its queue when it was accepted. They hold while the queue is not configured.
 	Terms QueueTerms `cbor:"12,keyasint,omitzero"`
 	Route Route      `cbor:"13,keyasint,omitzero"` // under which it was accepted
+	// Probe is true if it was accepted although it was expected to end too late, to check the
+	// prediction.
+	Probe bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Route is the host and the path prefix of the requests for a job. Its callers go on using them
--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -203,7 +204,13 @@
 type QueueState struct {
 	Queue        string        `cbor:"1,keyasint"`
 	Waiting      int           `cbor:"2,keyasint,omitempty"` // jobs without a schedule, none started
-	ExpectedWait time.Duration `cbor:"3,keyasint,omitempty"` // expected time until a new job can start
+	ExpectedWait time.Duration `cbor:"3,keyasint,omitempty"` // expected time until all accepted work is done
+	// OnTimeWait is the expected time until the work that can end on time is done, and TeamWaits
+	// those of the teams that wait longer, within their upper limits.
+	OnTimeWait time.Duration            `cbor:"4,keyasint,omitempty"`
+	TeamWaits  map[string]time.Duration `cbor:"5,keyasint,omitempty"`
+	// Inflow is the work that was accepted lately, as a multiple of what the pool can do.
+	Inflow float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // QueueStates returns the states of the queues with waiting jobs or a wait of at least
@@ -227,6 +234,11 @@
 			Waiting:      waiting[name],
 			ExpectedWait: waits[e.conf.Queues[name].Pool],
 		}
+		if p := e.pools[e.conf.Queues[name].Pool]; p != nil {
+			state.OnTimeWait = p.waits.All
+			state.TeamWaits = longestWaits(p.waits.Teams, max(minReportedWait, p.waits.All))
+			state.Inflow = e.inflow(p, now)
+		}
 		if state.Waiting > 0 || state.ExpectedWait >= minReportedWait {
 			states = append(states, state)
 		}
@@ -234,6 +246,36 @@
 	return states
 }
 
+// maxReportedTeams bounds the teams of a queue whose waits are reported.
+const maxReportedTeams = 16
+
+// longestWaits returns the longest of the waits above a minimum.
+func longestWaits(waits map[string]time.Duration, above time.Duration) map[string]time.Duration {
+	teams := slices.Sorted(maps.Keys(waits))
+	slices.SortStableFunc(teams, func(a, b string) int { return cmp.Compare(waits[b], waits[a]) })
+	var longest map[string]time.Duration
+	for _, team := range teams[:min(len(teams), maxReportedTeams)] {
+		if waits[team] <= above {
+			break
+		}
+		if longest == nil {
+			longest = map[string]time.Duration{}
+		}
+		longest[team] = waits[team]
+	}
+	return longest
+}
+
+// inflow returns the work that was accepted for a pool lately, as a multiple of what it can do now.
+func (e *Engine) inflow(p *pool, now time.Duration) float64 {
+	fast, _ := p.offered.averages(now)
+	capacity := max(minInflowMillicores, p.demand.capacityMillicores-p.demand.longRunningMillicores)
+	return fast / float64(capacity)
+}
+
+// minInflowMillicores is the capacity to which the inflow of a pool relates if it has less.
+const minInflowMillicores = 1000
+
 // expectedWait returns how long new work of a pool waits if the whole backlog is done first.
 func (e *Engine) expectedWait(p *pool, now time.Duration) time.Duration {
 	if p.demand.backlogCoreMS == 0 {
--- a/pkg/orchestrator/duration_test.go
+++ b/pkg/orchestrator/duration_test.go
@@ -47,3 +47,29 @@
 		})
 	}
 }
+
+// Guards against an owner that goes by estimates again until it has seen enough tasks itself.
+func TestLaterOwnerStartsFromWhatWasLearned(t *testing.T) {
+	w := newWorldWithTargets(t, 4)
+	for _, f := range w.targets {
+		f.slowdown = 4
+	}
+	for i := range 8 {
+		id := fmt.Sprint("job", i)
+		w.submit(testJob(id, "schools", 800, 8))
+		if !w.runUntil(20*time.Second, func() bool { return w.state(id) == jobkeeper.StateComplete }) {
+			t.Fatalf("%s is not complete", id)
+		}
+	}
+	learned := w.engine.Durations()
+	w.takeOver()
+	if got := len(w.engine.Durations()); got != 0 {
+		t.Fatalf("the new owner knows the durations of %d queues by itself", got)
+	}
+	w.engine.LoadDurations(learned)
+	next := testJob("next", "schools", 800, 8)
+	want := learned[0].CriticalPath(next)
+	if got := w.engine.Durations(); len(got) != 1 || got[0].CriticalPath(next) != want {
+		t.Errorf("the new owner expects %v, want a critical path of %s", got, want)
+	}
+}
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -306,9 +306,16 @@
 	j.endedMS = nowMS
 	e.dirty[j.doc.ID] = true
 	e.cfg.Observer.JobEnded(j.doc.Queue, j.doc.Team, string(state), now-j.arrival)
+	if state == jobkeeper.StateComplete && !j.doc.Scheduled() {
+		admission := AdmissionUseful
+		if j.doc.Probe {
+			admission = AdmissionProbe
+		}
+		e.cfg.Observer.JobPredicted(j.doc.Queue, string(admission), string(timeliness(now-j.arrival, objective)))
+	}
 	e.cfg.Logger.Info("job ended", "job", j.doc.ID, "queue", j.doc.Queue, "state", state, "reason", reason,
 		"took_ms", (now - j.arrival).Milliseconds(), "objective_ms", objective.Milliseconds(), "waited_ms", j.waited.Milliseconds(),
-		"estimated_chain_ms", j.doc.CriticalPathMS(), "expected_chain_ms", first.Milliseconds(), "chain_ms", chain.Milliseconds())
+		"estimated_chain_ms", j.doc.CriticalPathMS(), "expected_chain_ms", first.Milliseconds(), "chain_ms", chain.Milliseconds(), "probe", j.doc.Probe)
 	for t := range j.tasks() {
 		t.uncertain = false
 	}
--- a/pkg/orchestrator/observer.go
+++ b/pkg/orchestrator/observer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/sequencer"
 )
 
 // Observer receives events of the engine, for metrics. Its methods must not block.
@@ -15,6 +16,9 @@
 	JobStarted(queue, team string, wait time.Duration)
 	// JobEnded is called when a job ends. took is the time since it was accepted.
 	JobEnded(queue, team, state string, took time.Duration)
+	// JobPredicted is called when a job without a schedule is complete, with the reason for which
+	// it was accepted and how its end relates to its objective.
+	JobPredicted(queue, admission, timeliness string)
 	// TaskOrder is called with the answer to an order for a target.
 	TaskOrder(kind, outcome string)
 	// VMOrder is called with the answer to an order for a VM.
@@ -24,10 +28,41 @@
 	TaskEnd(pool, how string)
 }
 
+// Admission is the reason for which a job was accepted.
+type Admission string
+
+// Jobs are accepted because they are expected to be of use, or to check predictions of the contrary.
+const (
+	AdmissionUseful Admission = "useful"
+	AdmissionProbe  Admission = "probe"
+)
+
+// Timeliness relates the end of a job to its objective.
+type Timeliness string
+
+// A job is useless to its caller if it ends after sequencer.MaxTotalTimeFactor times its objective.
+const (
+	OnTime  Timeliness = "on_time"
+	Late    Timeliness = "late"
+	Useless Timeliness = "useless"
+)
+
+// timeliness returns that of a job that took the given time.
+func timeliness(took, objective time.Duration) Timeliness {
+	switch {
+	case took <= objective:
+		return OnTime
+	case took <= sequencer.MaxTotalTimeFactor*objective:
+		return Late
+	}
+	return Useless
+}
+
 type nopObserver struct{}
 
 func (nopObserver) JobStarted(string, string, time.Duration)       {}
 func (nopObserver) JobEnded(string, string, string, time.Duration) {}
+func (nopObserver) JobPredicted(string, string, string)            {}
 func (nopObserver) TaskOrder(string, string)                       {}
 func (nopObserver) VMOrder(string, string)                         {}
 func (nopObserver) TaskEnd(string, string)                         {}
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -20,6 +20,7 @@
 
 	"github.com/comfreyford/comfreyford/pkg/ejector"
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/sequencer"
 	"github.com/comfreyford/comfreyford/pkg/storer"
 )
 
@@ -181,6 +182,7 @@
 	targets []*target
 	demand  demand
 	offered offeredLoad
+	waits   sequencer.Waits // by the last plan
 	speed   poolSpeed
 	// gangReserved is true if room is kept for a gang in the present round, gangChecks is how
 	// many were considered.
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -32,8 +32,14 @@
 		works[name] = append(works[name], e.work(j, now))
 	}
 	e.measure(now)
+	for _, p := range e.pools {
+		p.waits = sequencer.Waits{}
+	}
 	for name, list := range works {
-		planned := sequencer.Plan(list, e.planCapacity(e.pool(name), now))
+		p := e.pool(name)
+		capacity := e.planCapacity(p, now)
+		planned := sequencer.Plan(list, capacity)
+		p.waits = sequencer.OnTimeWaits(list, planned, capacity)
 		for _, w := range list {
 			e.jobs[w.ID].planned = planned[w.ID]
 		}
--- a/pkg/sequencer/plan.go
+++ b/pkg/sequencer/plan.go
@@ -57,11 +57,11 @@
 // work planned before it; its own chain is added to that. Gaps between tasks and gangs are
 // ignored, so that one pass is enough.
 func Plan(jobs []Work, capacity Capacity) map[string]bool {
-	mean := meanWork(jobs)
+	drawn := drawnJobs(jobs)
 	order := slices.Clone(jobs)
 	slices.SortFunc(order, func(a, b Work) int {
 		return cmp.Or(compareBool(b.Started, a.Started), compareBool(a.OverShare, b.OverShare),
-			compareBool(b.drawn(mean), a.drawn(mean)),
+			compareBool(drawn[b.ID], drawn[a.ID]),
 			cmp.Compare(a.Due-a.Chain, b.Due-b.Chain), cmp.Compare(a.ID, b.ID))
 	})
 	planned := map[string]bool{}
@@ -94,7 +94,7 @@
 			continue
 		}
 		add(w, 1)
-		if !w.Started && !w.drawn(mean) {
+		if !w.Started && !drawn[w.ID] {
 			heap.Push(&displaceable, w)
 		}
 	}
@@ -112,24 +112,26 @@
 	drawnLargeJobs = 6
 )
 
-// drawn reports whether a large job is served before all jobs that have not started, so that large
-// jobs do not starve while small ones fill the pool. It depends on the ID alone and never changes.
-func (w Work) drawn(mean int64) bool {
-	if w.CoreMS < largeFactor*mean {
-		return false
-	}
-	h := fnv.New32a()
-	h.Write([]byte(w.ID))
-	return h.Sum32()%drawnLargeJobs == 0
-}
-
-// meanWork returns the mean work of the jobs.
-func meanWork(jobs []Work) int64 {
+// drawnJobs returns the large jobs that are served before all others that have not started, so that
+// large jobs do not starve while small ones fill the pool. They are drawn by their IDs, so that each
+// plan draws the same.
+func drawnJobs(jobs []Work) map[string]bool {
 	var sum int64
 	for _, w := range jobs {
 		sum += w.CoreMS
 	}
-	return sum / int64(max(1, len(jobs)))
+	drawn := map[string]bool{}
+	for _, w := range jobs {
+		if w.CoreMS*int64(len(jobs)) < largeFactor*sum {
+			continue
+		}
+		h := fnv.New32a()
+		h.Write([]byte(w.ID))
+		if h.Sum32()%drawnLargeJobs == 0 {
+			drawn[w.ID] = true
+		}
+	}
+	return drawn
 }
 
 // largestFirst is a heap of jobs, the one with the most work first.
@@ -149,6 +151,37 @@
 	return last
 }
 
+// Waits is how long new work waits for the planned work before it.
+type Waits struct {
+	All   time.Duration
+	Teams map[string]time.Duration // within the upper limit of a team
+}
+
+// OnTimeWaits returns the waits for the jobs that are planned.
+func OnTimeWaits(jobs []Work, planned map[string]bool, capacity Capacity) Waits {
+	var ahead int64
+	ofTeam := map[string]int64{}
+	for _, w := range jobs {
+		if planned[w.ID] {
+			ahead += w.CoreMS
+			ofTeam[w.Team] += w.CoreMS
+		}
+	}
+	waits := Waits{
+		All:   capacity.BusyTime(ahead),
+		Teams: map[string]time.Duration{},
+	}
+	if ahead == 0 {
+		waits.All = 0
+	}
+	for team, coreMS := range ofTeam {
+		if limit, limited := capacity.TeamMillicores[team]; limited {
+			waits.Teams[team] = busyTime(coreMS, limit)
+		}
+	}
+	return waits
+}
+
 // busyTime returns how long the given number of millicores is busy with the work ahead.
 func busyTime(aheadCoreMS, millicores int64) time.Duration {
 	if aheadCoreMS == 0 {
--- a/pkg/sequencer/sequencer_test.go
+++ b/pkg/sequencer/sequencer_test.go
@@ -334,3 +334,53 @@
 		})
 	}
 }
+
+// The critical path is 1 s and the objective 2.2 s; a job is of use until 6.6 s.
+func TestAdmit(t *testing.T) {
+	tests := []struct {
+		name       string
+		wait       time.Duration
+		onTimeWait time.Duration
+		want       bool
+		retryAfter time.Duration
+	}{
+		{"nothing waits", 0, 0, true, 0},
+		{"on time behind work on time", time.Second, time.Second, true, 0},
+		{"late behind all work, and still of use", 5 * time.Second, 5 * time.Second, true, 0},
+		{"of no use behind late work, but that waits", time.Minute, time.Second, true, 0},
+		{"of no use", 10 * time.Second, 10 * time.Second, false, 8800 * time.Millisecond},
+		{"on time once some work is done", 10 * time.Second, 2 * time.Second, false, 800 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ok, retryAfter := sequencer.Admit(sequencer.Arrival{
+				Chain:      time.Second,
+				Objective:  2200 * time.Millisecond,
+				Wait:       test.wait,
+				OnTimeWait: test.onTimeWait,
+			})
+			if ok != test.want || retryAfter != test.retryAfter {
+				t.Errorf("got %v, retry after %s, want %v, %s", ok, retryAfter, test.want, test.retryAfter)
+			}
+		})
+	}
+}
+
+func TestWaitAt(t *testing.T) {
+	tests := []struct {
+		name   string
+		inflow float64
+		want   time.Duration
+	}{
+		{"nothing is accepted", 0, 1500 * time.Millisecond},
+		{"as much as the pool does", 1, 2 * time.Second},
+		{"a burst", 5, 4 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := sequencer.WaitAt(2*time.Second, 500*time.Millisecond, test.inflow); got != test.want {
+				t.Errorf("got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
