--- a/pkg/orchestrator/interference_test.go
+++ b/pkg/orchestrator/interference_test.go
@@ -148,6 +148,7 @@
 func (*countingObserver) VMOrder(string, string)                         {}
 func (*countingObserver) TaskEnd(string, string)                         {}
 func (*countingObserver) VMsAhead(string, int)                           {}
+func (*countingObserver) JobPredicted(string, string, string)            {}
 func (o *countingObserver) TaskKeptApart(string)                         { o.keptApart++ }
 
 func constant(factor float64) func(time.Duration) float64 {
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -20,6 +20,7 @@
 
 	"github.com/comfreyford/comfreyford/pkg/ejector"
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/sequencer"
 	"github.com/comfreyford/comfreyford/pkg/storer"
 )
 
@@ -186,6 +187,7 @@
 	targets []*target
 	demand  demand
 	offered offeredLoad
+	waits   sequencer.Waits // by the last plan
 	// forecast is the load that is expected of a recurring one.
 	forecast poolForecast
 	speed    poolSpeed
