orchestrator: room for the next turn of a wave comes before it

Change: the task whose turn comes next is counted as displaced, and a pool parks no VM while long-running tasks leave others for maintenance.

--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -340,7 +340,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(e.pools)) {
 		p := e.pools[name]
-		if e.spare(name) || p.shortage(now)+p.demand.lateMillicores > 0 {
+		if e.spare(name) || p.shortage(now)+p.demand.lateMillicores > 0 || e.emptiesForMaintenance(p) {
 			continue
 		}
 		minUsable, delay := e.keptTargets(p, parkMinShare), p.parkDelay()
@@ -361,6 +361,12 @@
 	}
 }
 
+// emptiesForMaintenance reports whether long-running tasks of a pool are leaving VMs for
+// maintenance. Its idle VMs are room for the next ones.
+func (e *Engine) emptiesForMaintenance(p *pool) bool {
+	return slices.ContainsFunc(p.targets, func(t *target) bool { return t.evacuating && t.hasLongRunning() })
+}
+
 const (
 	// parkMinShare is the fraction of the fleet that an idle pool keeps, so that the first
 	// jobs of a burst start at once; a VM arrives 1.7 s after it is ordered.
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -177,7 +177,11 @@
 		if a.phase == phaseStopping {
 			continue
 		}
-		if !a.task.step.step.LongRunning || !e.mayInterrupt(a, now) {
+		if !a.task.step.step.LongRunning {
+			continue
+		}
+		if !e.mayInterrupt(a, now) {
+			e.prepareRoom(a, now)
 			continue
 		}
 		if e.roomElsewhere(a, now) || canOrder && e.roomSoon(a, now) || now-t.waitsForRoomSince > evacuationPatience {
@@ -191,8 +195,22 @@
 	return t.listed && len(t.otherLives) == 0 && len(t.attempts) == 0
 }
 
-// addDisplaced records that a task of the step has to leave its VM and fits on no other
-// target.
+// prepareRoom asks for a VM for a long-running task whose turn to leave its VM comes next, so that
+// it does not wait for one then.
+func (e *Engine) prepareRoom(a *attempt, now time.Duration) {
+	p, step := e.pool(e.poolOf(a.task.step.job)), a.task.step.step
+	for _, d := range p.displaced {
+		if d.step == step && d.tasks >= step.MaxUnavailable {
+			return
+		}
+	}
+	if !e.roomElsewhere(a, now) {
+		p.addDisplaced(step)
+	}
+}
+
+// addDisplaced records that a task of the step has to leave its VM, now or next, and fits on no
+// other target.
 func (p *pool) addDisplaced(step *jobkeeper.Step) {
 	for i := range p.displaced {
 		if p.displaced[i].step == step {
--- a/pkg/orchestrator/wave_test.go
+++ b/pkg/orchestrator/wave_test.go
@@ -64,3 +64,41 @@
 	}
 	w.verify()
 }
+
+// The load: a wave over a pool that has one VM for each task of a step, at most one per target,
+// while other VMs are spare. The task that leaves its VM next has to find one that came before
+// its turn.
+func TestWaveBringsRoomBeforeItIsNeeded(t *testing.T) {
+	w := newWorldWithSpares(t, 6)
+	w.startupTime = time.Second
+	for i := range 7 {
+		w.addTarget(fmt.Sprintf("t%d", i+1), "desk", cores(8))
+	}
+	w.run(time.Second)
+	w.submit(longRunningJob("a", 8, 1))
+	w.run(5 * time.Second)
+	var vms []string
+	for i := range 8 {
+		vms = append(vms, w.targets[w.runningOn(fmt.Sprintf("a.0.0.%d", i))].VM)
+	}
+	const duration = 12 * time.Second // 1.2 s for each turn, and the time of a first move
+	w.startWave(vms, duration, 8)
+	began, moves := w.now, w.moves
+	complete := func() bool {
+		for _, state := range w.engine.TakeWaves() {
+			if state.Complete {
+				return true
+			}
+		}
+		return false
+	}
+	if !w.runUntil(3*duration, complete) || w.now-began > duration {
+		t.Errorf("the wave took %s, want at most %s", w.now-began, duration)
+	}
+	// There and back for one VM each that is in maintenance, takes the present task, and is ready
+	// for the next.
+	if moved := w.moves - moves; moved > 2*3 {
+		t.Errorf("%d moves during the wave, want at most 6", moved)
+	}
+	w.verify()
+}
