orchestrator: targets without room are passed over when a wave looks for room

Cause: each long-running task that waits for its turn built a view of all targets of its pool, twice, in each round of a wave: 1.7 of 2.4 s of the engine's time in a play of 15 s with 175 targets, 8 long-running jobs and a wave over 87 VMs.

Change: the amounts are compared first, and only a target with room is looked at.

--- a/pkg/orchestrator/advice.go
+++ b/pkg/orchestrator/advice.go
@@ -303,3 +303,9 @@
 	}
 	return views
 }
+
+// approved reports whether the step may run on a target as far as advice is concerned.
+func (e *Engine) approved(s *stepState, t *target) bool {
+	_, ok := s.advice.tickets[t.ID]
+	return ok || !e.adviceRequired(s)
+}
--- a/pkg/orchestrator/target.go
+++ b/pkg/orchestrator/target.go
@@ -256,23 +256,27 @@
 func (e *Engine) views(p *pool, now time.Duration) []packer.Target {
 	views := make([]packer.Target, 0, len(p.targets))
 	for _, t := range p.targets {
-		views = append(views, packer.Target{
-			ID:                  t.ID,
-			Rack:                t.Rack,
-			Labels:              t.Labels,
-			Capacity:            t.Capacity,
-			Used:                t.used,
-			Slowdown:            max(t.slowdown, coldSlowdown(t.coldUntil, now)),
-			Idle:                len(t.attempts) == 0,
-			Closed:              !e.usable(t, now),
-			AwaitingMaintenance: e.fleet.awaitingMaintenance[t.VM],
-			BestEffort:          t.bestEffort,
-			LatencySensitive:    t.latencySensitive,
-		})
+		views = append(views, e.viewOf(t, now))
 	}
 	return views
 }
 
+func (e *Engine) viewOf(t *target, now time.Duration) packer.Target {
+	return packer.Target{
+		ID:                  t.ID,
+		Rack:                t.Rack,
+		Labels:              t.Labels,
+		Capacity:            t.Capacity,
+		Used:                t.used,
+		Slowdown:            max(t.slowdown, coldSlowdown(t.coldUntil, now)),
+		Idle:                len(t.attempts) == 0,
+		Closed:              !e.usable(t, now),
+		AwaitingMaintenance: e.fleet.awaitingMaintenance[t.VM],
+		BestEffort:          t.bestEffort,
+		LatencySensitive:    t.latencySensitive,
+	}
+}
+
 // viewFor returns the views for the placement of a step. It copies them if the step limits
 // the tasks per target or needs advice, and returns them as they are otherwise.
 func (e *Engine) viewFor(views []packer.Target, s *stepState) []packer.Target {
@@ -292,11 +296,6 @@
 	return e.closeUnapproved(s, own)
 }
 
-// view returns new views of a pool's targets for the placement of a step.
-func (e *Engine) view(p *pool, s *stepState, now time.Duration) []packer.Target {
-	return e.viewFor(e.views(p, now), s)
-}
-
 // NextListRequest returns the next list request for a target, and false if the target is
 // unknown.
 func (e *Engine) NextListRequest(id string, now time.Duration) (ListRequest, bool) {
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -240,40 +240,59 @@
 
 // roomElsewhere reports whether the task of a run could start on another target now.
 func (e *Engine) roomElsewhere(a *attempt, now time.Duration) bool {
-	s := a.task.step
-	p := e.pool(e.poolOf(s.job))
-	request := packer.Request{
-		Step: s.step,
-	}
-	for i, v := range e.view(p, s, now) {
-		if p.targets[i] != a.target && packer.Eligible(request, &v) {
-			return true
-		}
-	}
-	return false
+	return e.roomBeside(a, now, func(*target) jobkeeper.Resources {
+		return jobkeeper.Resources{}
+	})
 }
 
 // roomSoon reports whether the task of a run could start on another target as soon as tasks that
 // end have ended there: long-running tasks come before all others that wait.
 func (e *Engine) roomSoon(a *attempt, now time.Duration) bool {
+	return e.roomBeside(a, now, func(t *target) jobkeeper.Resources {
+		var ending jobkeeper.Resources
+		for _, other := range t.attempts {
+			if step := other.task.step.step; !step.LongRunning {
+				ending = ending.Plus(step.Reserved())
+			}
+		}
+		return ending
+	})
+}
+
+// roomBeside reports whether the task of a run could start on another target if that had freed the
+// given amounts. Targets without room are passed over before they are looked at closely, because
+// this is asked for many runs in each round of a wave.
+func (e *Engine) roomBeside(a *attempt, now time.Duration, freed func(t *target) jobkeeper.Resources) bool {
 	s := a.task.step
-	p := e.pool(e.poolOf(s.job))
 	request := packer.Request{
 		Step: s.step,
 	}
-	for i, v := range e.view(p, s, now) {
-		for _, other := range p.targets[i].attempts {
-			if !other.task.step.step.LongRunning {
-				v.Used = v.Used.Minus(other.task.step.step.Reserved())
-			}
+	for _, t := range e.pool(e.poolOf(s.job)).targets {
+		used := t.used.Minus(freed(t))
+		if t == a.target || !s.step.Reserved().FitsIn(t.Capacity.Minus(used)) || !e.approved(s, t) {
+			continue
 		}
-		if p.targets[i] != a.target && packer.Eligible(request, &v) {
+		v := e.viewOf(t, now)
+		v.Used = used
+		v.SameStep = s.runsOn(t)
+		if packer.Eligible(request, &v) {
 			return true
 		}
 	}
 	return false
 }
 
+// runsOn returns the number of runs of the step on a target.
+func (s *stepState) runsOn(t *target) int {
+	n := 0
+	for _, a := range t.attempts {
+		if a.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
 // vmOrder issues an order for a VM, which ends the target on it.
 func (e *Engine) vmOrder(o Order, now time.Duration) {
 	o.Fence = e.cfg.Fence
