drainer: a caller is not waited for while its request is handled

Cause: when a body has been read, net/http reads on to notice whether the caller leaves. That read counted as waiting for the caller, so that a request on which the process worked could lose its connection to others or after 15 s.

Change: only reads for the body count; between two requests nothing is reserved, also when the handler was not called.

--- a/internal/drainer/budget_test.go
+++ b/internal/drainer/budget_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/budgeter"
 )
@@ -155,3 +156,40 @@
 		t.Errorf("status %d, Retry-After %q, closes %t", res.StatusCode, res.Header.Get("Retry-After"), res.Close)
 	}
 }
+
+// Guards against a caller that loses its connection while the process works on its request: the
+// caller has sent all of it, and net/http reads on to notice whether the caller leaves.
+func TestCallerIsNotWaitedForWhileItsRequestIsHandled(t *testing.T) {
+	var s *Server
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := ReadBody(w, r, 1<<20); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Millisecond) // lets the read begin
+		if expired := s.budget.Expire(time.Now().Add(time.Hour)); len(expired) > 0 {
+			t.Error("the process waits for a caller that has sent its request")
+		}
+	})
+	s, err := New("127.0.0.1:0", Config{
+		Budget:  budgeter.Limits{}.Callers(),
+		Handler: handler,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	serving := make(chan error, 1)
+	go func() { serving <- s.Serve() }()
+	t.Cleanup(func() {
+		if err := errors.Join(s.Close(), <-serving); err != nil {
+			t.Error(err)
+		}
+	})
+	for i := range 300 {
+		if status, _ := post(t, s, strings.Repeat("a", 100*i), i%2 == 0); status != http.StatusOK {
+			t.Fatalf("request %d: status %d", i, status)
+		}
+		if t.Failed() {
+			return
+		}
+	}
+}
--- a/internal/drainer/connection.go
+++ b/internal/drainer/connection.go
@@ -115,13 +115,14 @@
 
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
-	// While the handler works, net/http reads as well, to notice that the caller has gone.
-	if c.readsBody.Load() {
+	// net/http also reads a single byte while the handler works, to notice that the caller has gone.
+	forBody := c.readsBody.Load() && len(p) > 1
+	if forBody {
 		c.server.budget.Wait(c.holder, budgeter.WaitingForCaller, time.Now())
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.received(n)
+		c.received(n, forBody)
 	}
 	if c.shed.Load() {
 		return 0, os.ErrDeadlineExceeded // net/http closes the connection without an answer
@@ -129,8 +130,8 @@
 	return n, err
 }
 
-// received notes progress, and reserves what a header will hold before it is decoded.
-func (c *connection) received(n int) {
+// received notes progress with a header or a body, and reserves what a header will hold before it is decoded.
+func (c *connection) received(n int, forBody bool) {
 	now := time.Now()
 	budget := c.server.budget
 	switch {
@@ -140,7 +141,7 @@
 		if !ok && !c.shed.Swap(true) {
 			c.server.refused(ReasonMemory, hostOf(c.RemoteAddr()))
 		}
-	case c.readsBody.Load():
+	case forBody:
 		budget.Progress(c.holder, n, now)
 		budget.Wait(c.holder, budgeter.WaitingForWork, now)
 	default:
--- a/pkg/budgeter/budgeter.go
+++ b/pkg/budgeter/budgeter.go
@@ -248,7 +248,8 @@
 	return b.reserve(h, n, now)
 }
 
-// Wait notes what the process waits for on a connection from now on. The time in which it waits for
+// Wait notes what the process waits for on a connection from now on. Between two requests nothing is
+// reserved. The time in which it waits for
 // work does not count against the caller.
 func (b *Budget[C]) Wait(h *Holder[C], w Waiting, now time.Time) {
 	b.mu.Lock()
@@ -260,7 +261,10 @@
 	switch {
 	case w == h.waiting:
 		return
-	case w == WaitingForRequest || h.waiting == WaitingForRequest:
+	case w == WaitingForRequest:
+		b.release(h)
+		h.deadline = now.Add(b.cfg.Window)
+	case h.waiting == WaitingForRequest:
 		h.deadline = now.Add(b.cfg.Window)
 	case w == WaitingForWork:
 		h.left = h.deadline.Sub(now)
