--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -63,6 +63,7 @@
 	r.TaskOrder("start", "ok")
 	r.TaskEnd("desk", "done")
 	r.VMOrder("move", "ok")
+	r.TaskKeptApart("desk")
 	r.StoreDuration("commit", "ok", time.Millisecond)
 	for _, m := range JobTable() {
 		if m.Kind != KindGauge {
