--- a/internal/commander/review.go
+++ b/internal/commander/review.go
@@ -91,7 +91,7 @@
 		defer cancel()
 		return platform.ReadConfiguration(ctx, settings)
 	}
-	return nil, nil //nolint:nilnil // nothing to compare with
+	return nil, nil // nothing to compare with
 }
 
 func readConfiguration(path string) (*manager.Configuration, error) {
