--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -67,6 +67,7 @@
 	r.VMsAhead("desk", 1)
 	r.TaskKeptApart("desk")
 	r.VMOrder("move", "ok")
+	r.TaskKeptApart("desk")
 	r.StoreDuration("commit", "ok", time.Millisecond)
 	r.CallerRefused("callers", "memory")
 	for _, m := range JobTable() {
