orchestrator: learned durations are asked for at most twice a second

Cause: each plan built keys and looked offsets up for every step. Change: a step keeps what it was told for 0.5 s.

--- a/pkg/orchestrator/duration.go
+++ b/pkg/orchestrator/duration.go
@@ -24,6 +24,9 @@
 	// minLeftShare is the part of its expected duration that a run is assumed to have left
 	// when it has lasted longer than expected.
 	minLeftShare = 0.1
+	// learnedAge is the time for which a step uses what was learned of its queue before it asks
+	// again, so that plans of a long backlog stay cheap.
+	learnedAge = 500 * time.Millisecond
 	// maxRateLeft bounds the time that a run has left by its rate.
 	maxRateLeft = 10 * time.Minute
 )
@@ -117,6 +120,7 @@
 type forecast struct {
 	taskMS    float64 // duration of a task
 	longestMS float64 // duration of the longest task
+	learnedAt time.Duration
 	coreMS    int64   // work that is left, in core-milliseconds
 	leftMS    float64 // time until the last task ends, if all start at once
 	totalMS   float64 // duration of the longest task, as far as it is known
@@ -267,16 +271,13 @@
 }
 
 func (e *Engine) predictStep(s *stepState, now time.Duration) {
-	estimate := float64(s.step.EstimateMS)
+	e.askLearned(s, now)
 	f := forecast{
-		taskMS:    e.durations.tasks.Predict(s.taskKey(), estimate).DurationMS,
-		longestMS: e.durations.longest.Predict(s.longestKey(), estimate).DurationMS,
-	}
-	if s.step.LongRunning {
-		f.taskMS, f.longestMS = estimate, estimate
+		taskMS:    s.forecast.taskMS,
+		longestMS: s.forecast.longestMS,
+		learnedAt: s.forecast.learnedAt,
+		totalMS:   s.longestDoneMS,
 	}
-	f.longestMS = max(f.longestMS, f.taskMS)
-	f.totalMS = s.longestDoneMS
 	if s.done == len(s.tasks) {
 		if f.totalMS == 0 {
 			f.totalMS = f.longestMS
@@ -319,6 +320,23 @@
 	s.forecast = f
 }
 
+// askLearned renews the durations that are expected of the tasks of a step, at most once in
+// learnedAge.
+func (e *Engine) askLearned(s *stepState, now time.Duration) {
+	f := &s.forecast
+	if f.learnedAt > 0 && now-f.learnedAt < learnedAge {
+		return
+	}
+	f.learnedAt = now
+	estimate := float64(s.step.EstimateMS)
+	f.taskMS, f.longestMS = estimate, estimate
+	if s.step.LongRunning {
+		return
+	}
+	f.taskMS = e.durations.tasks.Predict(s.taskKey(), estimate).DurationMS
+	f.longestMS = max(f.taskMS, e.durations.longest.Predict(s.longestKey(), estimate).DurationMS)
+}
+
 // longestOf returns the duration of the longest of n tasks of a step with the given width. It
 // grows with the logarithm of n, from that of one task to that of the whole step.
 func (f forecast) longestOf(n, width int) float64 {
