orchestrator: inflow by the capacity at the end of the wait

Cause: the front extrapolated waits by the inflow relative to the cores that a pool has now.

Change: the inflow relates to the capacity when new work has its turn.

--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -209,7 +209,8 @@
 	// those of the teams that wait longer, within their upper limits.
 	OnTimeWait time.Duration            `cbor:"4,keyasint,omitempty"`
 	TeamWaits  map[string]time.Duration `cbor:"5,keyasint,omitempty"`
-	// Inflow is the work that was accepted lately, as a multiple of what the pool can do.
+	// Inflow is the work that was accepted lately, as a multiple of what the pool can do when new
+	// work has its turn.
 	Inflow float64 `cbor:"6,keyasint,omitempty"`
 }
 
@@ -237,7 +238,7 @@
 		if p := e.pools[e.conf.Queues[name].Pool]; p != nil {
 			state.OnTimeWait = p.waits.All
 			state.TeamWaits = longestWaits(p.waits.Teams, max(minReportedWait, p.waits.All))
-			state.Inflow = e.inflow(p, now)
+			state.Inflow = e.inflow(p, state.ExpectedWait, now)
 		}
 		if state.Waiting > 0 || state.ExpectedWait >= minReportedWait {
 			states = append(states, state)
@@ -266,11 +267,16 @@
 	return longest
 }
 
-// inflow returns the work that was accepted for a pool lately, as a multiple of what it can do now.
-func (e *Engine) inflow(p *pool, now time.Duration) float64 {
+// inflow returns the work that was accepted for a pool lately, as a multiple of what the pool can do
+// at the end of the given wait, when new work has its turn.
+func (e *Engine) inflow(p *pool, wait, now time.Duration) float64 {
 	fast, _ := p.offered.averages(now)
-	capacity := max(minInflowMillicores, p.demand.capacityMillicores-p.demand.longRunningMillicores)
-	return fast / float64(capacity)
+	capacity := e.planCapacity(p, now)
+	millicores := capacity.Millicores
+	if wait >= capacity.ComingIn {
+		millicores += capacity.Coming
+	}
+	return fast / float64(max(minInflowMillicores, millicores))
 }
 
 // minInflowMillicores is the capacity to which the inflow of a pool relates if it has less.
