calls that a neighbor answers while the store turns a daemon away

The neighbor checks route and key; a call makes one hop; an attempt without an answer is an unknown outcome. A daemon that is served so stays ready.

--- a/internal/manager/cancel.go
+++ b/internal/manager/cancel.go
@@ -12,7 +12,7 @@
 // has ended. It is VerdictNoJob if there is no such job; none with this ID is accepted for markTTL
 // then.
 func (f *Front) Cancel(ctx context.Context, call Call) Result {
-	return f.measure("cancel", func() Result { return f.cancel(ctx, call) })
+	return f.measure("cancel", func() Result { return f.serve(ctx, CallCancel, call, f.cancel) })
 }
 
 func (f *Front) cancel(ctx context.Context, call Call) Result {
@@ -47,6 +47,9 @@
 		case errors.Is(err, storer.ErrConflict), errors.Is(err, storer.ErrLeaseNotFound):
 		case errors.Is(err, storer.ErrOutcomeUnknown):
 			unanswered = true
+			if f.mayHandOn(call) {
+				return unknownIfUnanswered(Result{}, true)
+			}
 		default:
 			f.cfg.Logger.Warn("job not cancelled", "job", a.id, "error", err)
 			return unknownIfUnanswered(unavailable("store unavailable"), unanswered)
--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -44,6 +44,8 @@
 	Deadline time.Time
 	// Job is set for submissions, without ID, queue, team and pool.
 	Job *jobkeeper.Job
+	// Forwarded is set if another daemon has handed the call on; it is not handed on again.
+	Forwarded bool
 }
 
 const (
@@ -62,14 +64,16 @@
 	operatorWatch *prefixWatcher
 	view          *fleetView
 	admission     *admissionControl
+	neighbors     *neighborhood // nil if calls are not handed on
 }
 
-func newFront(cfg Config, settings *settings, operatorWatch *prefixWatcher, view *fleetView) *Front {
+func newFront(cfg Config, settings *settings, operatorWatch *prefixWatcher, view *fleetView, neighbors *neighborhood) *Front {
 	return &Front{
 		cfg:           cfg,
 		settings:      settings,
 		operatorWatch: operatorWatch,
 		view:          view,
+		neighbors:     neighbors,
 		admission: &admissionControl{
 			cfg:  cfg,
 			view: view,
@@ -165,7 +169,7 @@
 
 // Submit accepts a job. The verdict is ok if the job is stored now or was stored before.
 func (f *Front) Submit(ctx context.Context, call Call) Result {
-	return f.measure("submit", func() Result { return f.submit(ctx, call) })
+	return f.measure("submit", func() Result { return f.serve(ctx, CallSubmit, call, f.submit) })
 }
 
 // measure records the duration and the verdict of a call.
@@ -228,6 +232,9 @@
 			refusal = version
 		case errors.Is(err, storer.ErrOutcomeUnknown):
 			unanswered = unanswered || !tooLate
+			if f.mayHandOn(call) {
+				return unknownIfUnanswered(unavailable("store did not answer"), unanswered)
+			}
 		case errors.Is(err, storer.ErrLeaseNotFound):
 		default:
 			f.cfg.Logger.Warn("storing the job or its refusal failed", "job", a.id, "queue", a.route.Queue, "error", err)
@@ -387,7 +394,7 @@
 // State returns the state of a job, or the number of waiting jobs of a queue if the path has
 // no job ID.
 func (f *Front) State(ctx context.Context, call Call) Result {
-	return f.measure("state", func() Result { return f.state(ctx, call) })
+	return f.measure("state", func() Result { return f.serve(ctx, CallState, call, f.state) })
 }
 
 func (f *Front) state(ctx context.Context, call Call) Result {
--- a/internal/manager/harness_test.go
+++ b/internal/manager/harness_test.go
@@ -187,6 +187,7 @@
 	client  manager.TargetClient // used instead of fleet if set
 	schema  manager.StoreSchema
 	adviser manager.Adviser
+	carrier *fakeCarrier // lets daemons that start hand calls to each other, if set
 	version int64
 	// wrapStore, if set, replaces the store of daemons that start.
 	wrapStore func(storer.TransactionalStore) storer.TransactionalStore
@@ -356,8 +357,17 @@
 	if i.wrapStore != nil {
 		store = i.wrapStore(store)
 	}
+	var neighbors *manager.NeighborConfig
+	if i.carrier != nil {
+		neighbors = &manager.NeighborConfig{
+			Address: name,
+			Zones:   []string{"a", "b"},
+			Carrier: i.carrier,
+		}
+	}
 	m := manager.New(manager.Config{
 		Name:             name,
+		Neighbors:        neighbors,
 		AvailabilityZone: name[:1],
 		Cells:            i.cells,
 
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -2,8 +2,9 @@
 // store.
 //
 // Every daemon accepts jobs and answers callers (Front). The fleet is divided into cells; one
-// daemon at a time owns a cell and sends orders to its targets (owner). The daemons do not
-// communicate directly: accepted jobs, progress and the state of the cells are in the store.
+// daemon at a time owns a cell and sends orders to its targets (owner). Accepted jobs, progress and
+// the state of the cells are in the store. The daemons do not communicate directly, except that one
+// which the store turns away hands calls to a neighbor.
 package manager
 
 import (
@@ -116,6 +117,8 @@
 	AvailabilityZone string
 	// Cells bounds the sizes of cells.
 	Cells partitioner.Config
+	// Neighbors lets this daemon hand calls to others while the store turns it away; nil for none.
+	Neighbors *NeighborConfig
 }
 
 // Bounds are limits and delays that the platform and its users state.
@@ -172,6 +175,7 @@
 	ownersWatch   *prefixWatcher
 	front         *Front
 	advice        *adviserQueue
+	neighbors     *neighborhood // nil if calls are not handed on
 
 	mu             sync.Mutex
 	draining       bool
@@ -187,13 +191,23 @@
 			recorder:           cfg.Recorder,
 		}
 	}
+	var neighbors *neighborhood
+	if cfg.Neighbors != nil {
+		neighbors = newNeighborhood(cfg)
+		cfg.Store = &observedStore{
+			TransactionalStore: cfg.Store,
+			router:             neighbors.router,
+			clock:              cfg.Clock,
+		}
+	}
 	m := &Manager{
-		cfg:      cfg,
-		settings: newSettings(cfg),
-		view:     newFleetView(cfg),
-		owners:   elector.NewOwners(),
-		advice:   newAdviserQueue(cfg),
-		owned:    map[string]*owner{},
+		cfg:       cfg,
+		settings:  newSettings(cfg),
+		view:      newFleetView(cfg),
+		owners:    elector.NewOwners(),
+		advice:    newAdviserQueue(cfg),
+		neighbors: neighbors,
+		owned:     map[string]*owner{},
 	}
 	m.operatorWatch = newPrefixWatcher(watcherConfig{
 		Store:  cfg.Store,
@@ -220,7 +234,7 @@
 		Wait:   time.Second,
 		Apply:  m.owners.Apply,
 	})
-	m.front = newFront(cfg, m.settings, m.operatorWatch, m.view)
+	m.front = newFront(cfg, m.settings, m.operatorWatch, m.view, neighbors)
 	return m
 }
 
@@ -232,11 +246,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	layout, _ := m.view.currentLayout()
-	return !m.draining && layout != nil && m.settings.current() != nil && m.operatorWatch.age() < maxReadyAge
+	served := m.operatorWatch.age() < maxReadyAge || m.neighbors != nil && m.neighbors.router.ServedWithin(maxReadyAge, m.cfg.Clock())
+	return !m.draining && layout != nil && m.settings.current() != nil && served
 }
 
-// maxReadyAge is the time since the last contact with the store from which a daemon reports
-// itself as not ready.
+// maxReadyAge is the time since the last contact with the store, or with a neighbor that served a
+// call, from which a daemon reports itself as not ready.
 const maxReadyAge = 4 * time.Second
 
 // Drain makes the daemon report itself as not ready, gives up the ownership and leaves the
@@ -245,6 +260,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.draining = true
+	if m.neighbors != nil {
+		m.neighbors.draining.Store(true)
+	}
 	if m.cancelElection != nil {
 		m.cancelElection()
 	}
@@ -264,7 +282,7 @@
 
 // Components returns the parts of the daemon, for a supervisor.
 func (m *Manager) Components() []supervisor.Component {
-	return []supervisor.Component{
+	components := []supervisor.Component{
 		{
 			Name: "operators",
 			Run:  m.operatorWatch.run,
@@ -282,6 +300,13 @@
 			Run:  m.runElections,
 		},
 	}
+	if m.neighbors != nil {
+		components = append(components, supervisor.Component{
+			Name: "neighbors",
+			Run:  m.neighbors.run,
+		})
+	}
+	return components
 }
 
 const (
--- a/internal/recorder/jobs.go
+++ b/internal/recorder/jobs.go
@@ -19,6 +19,7 @@
 	OperatorKeysAge    = "comfreyford_store_knowledge_age"
 	PoolTargets        = "comfreyford_pool_targets"
 	PoolCores          = "comfreyford_pool_cores"
+	ForwardedCalls     = "comfreyford_forwarded_calls"
 	EvacuatedRuns      = "comfreyford_evacuated_zone_runs"
 	ConfigVersion      = "comfreyford_configuration_version"
 	noneValue          = "none"
@@ -42,6 +43,13 @@
 			Labels: "call, verdict",
 			Help:   "time to answer a call, with its calls to the store",
 		},
+		{
+			Name:   ForwardedCalls,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "call, outcome",
+			Help:   "calls handed to a neighbor, as the store turned this daemon away: its verdict, or not_sent",
+		},
 		{
 			Name:   JobWait,
 			Kind:   KindHistogram,
@@ -155,6 +163,16 @@
 	r.record(JobRequestDuration, l, took)
 }
 
+// ForwardedCall counts a call that was handed to a neighbor.
+func (r *Recorder) ForwardedCall(call, outcome string) {
+	r.count(ForwardedCalls, labelSet{
+		key1:   "call",
+		value1: call,
+		key2:   "outcome",
+		value2: outcome,
+	}.withNone())
+}
+
 // JobStarted records how long a job waited for the start of its first task.
 func (r *Recorder) JobStarted(queue, team string, wait time.Duration) {
 	r.record(JobWait, labelSet{
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -58,6 +58,7 @@
 		t.Fatal(err)
 	}
 	r.JobRequest("submit", "ok", time.Millisecond)
+	r.ForwardedCall("submit", "ok")
 	r.JobStarted("quotes", "schools", time.Millisecond)
 	r.JobEnded("quotes", "", "complete", time.Second)
 	r.TaskOrder("start", "ok")
