--- a/internal/recorder/jobs.go
+++ b/internal/recorder/jobs.go
@@ -22,8 +22,12 @@
 	OperatorKeysAge    = "comfreyford_store_knowledge_age"
 	PoolTargets        = "comfreyford_pool_targets"
 	PoolCores          = "comfreyford_pool_cores"
+<<<<<<< HEAD
 	PoolForecastError  = "comfreyford_pool_forecast_error"
 	VMsAhead           = "comfreyford_vms_ahead"
+=======
+	ForwardedCalls     = "comfreyford_forwarded_calls"
+>>>>>>> 0c98f7a436f2ad3a81b2a0d05f7dad9a0c0d551f
 	EvacuatedRuns      = "comfreyford_evacuated_zone_runs"
 	ConfigVersion      = "comfreyford_configuration_version"
 	noneValue          = "none"
@@ -47,6 +51,13 @@
 			Labels: "call, verdict",
 			Help:   "time to answer a call, with its calls to the store",
 		},
+		{
+			Name:   ForwardedCalls,
+			Kind:   KindCounter,
+			Unit:   "1",
+			Labels: "call, outcome",
+			Help:   "calls handed to a neighbor, as the store turned this daemon away: its verdict, or not_sent",
+		},
 		{
 			Name:   JobWait,
 			Kind:   KindHistogram,
@@ -198,6 +209,16 @@
 	r.record(JobRequestDuration, l, took)
 }
 
+// ForwardedCall counts a call that was handed to a neighbor.
+func (r *Recorder) ForwardedCall(call, outcome string) {
+	r.count(ForwardedCalls, labelSet{
+		key1:   "call",
+		value1: call,
+		key2:   "outcome",
+		value2: outcome,
+	}.withNone())
+}
+
 // JobStarted records how long a job waited for the start of its first task.
 func (r *Recorder) JobStarted(queue, team string, wait time.Duration) {
 	r.record(JobWait, labelSet{
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -59,6 +59,7 @@
 		t.Fatal(err)
 	}
 	r.JobRequest("submit", "ok", time.Millisecond)
+	r.ForwardedCall("submit", "ok")
 	r.JobStarted("quotes", "schools", time.Millisecond)
 	r.JobEnded("quotes", "", "complete", time.Second)
 	r.JobPredicted("quotes", "useful", "on_time")
