--- a/internal/recorder/jobs.go
+++ b/internal/recorder/jobs.go
@@ -22,12 +22,9 @@
 	OperatorKeysAge    = "comfreyford_store_knowledge_age"
 	PoolTargets        = "comfreyford_pool_targets"
 	PoolCores          = "comfreyford_pool_cores"
-<<<<<<< HEAD
 	PoolForecastError  = "comfreyford_pool_forecast_error"
 	VMsAhead           = "comfreyford_vms_ahead"
-=======
 	ForwardedCalls     = "comfreyford_forwarded_calls"
->>>>>>> 0c98f7a436f2ad3a81b2a0d05f7dad9a0c0d551f
 	EvacuatedRuns      = "comfreyford_evacuated_zone_runs"
 	ConfigVersion      = "comfreyford_configuration_version"
 	noneValue          = "none"
