drainer: the test of a handled request uses one connection

Cause: with the race detector the test named connections of earlier requests, which the server had not closed yet, as its own: the test was wrong, not the code. A connection for all requests leaves no other one to expire; the check is as strict.

Measured: go test -race ./internal/drainer passes 3 of 3; without the change that it guards, the test fails in 3 of 3 runs.

--- a/internal/drainer/budget_test.go
+++ b/internal/drainer/budget_test.go
@@ -49,17 +49,12 @@
 }
 
 // post sends a body, chunked if its length is not stated.
-func post(t *testing.T, s *Server, body string, chunked bool) (status int, answer string) {
+func post(t *testing.T, client *http.Client, s *Server, body string, chunked bool) (status int, answer string) {
 	t.Helper()
 	var source io.Reader = strings.NewReader(body)
 	if chunked {
 		source = io.NopCloser(source)
 	}
-	transport := &http.Transport{}
-	defer transport.CloseIdleConnections()
-	client := &http.Client{
-		Transport: transport,
-	}
 	res, err := client.Post("http://"+s.Address().String(), "text/plain", source)
 	if err != nil {
 		t.Fatal(err)
@@ -77,6 +72,11 @@
 func TestReadBodyReturnsTheWholeBody(t *testing.T) {
 	const limit = 3 * segment
 	s := startBudgeted(t, budgeter.Limits{}.Callers(), limit)
+	client := &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}
 	for _, size := range []int{0, 1, segment - 1, segment, segment + 1, 2*segment + 7, limit, limit + 1} {
 		for _, chunked := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d bytes, chunked %t", size, chunked), func(t *testing.T) {
@@ -84,7 +84,7 @@
 				for i := range size {
 					b.WriteByte(byte('a' + i%23))
 				}
-				status, answer := post(t, s, b.String(), chunked)
+				status, answer := post(t, client, s, b.String(), chunked)
 				switch {
 				case size > limit && status != http.StatusRequestEntityTooLarge:
 					t.Errorf("status %d for a body beyond the limit", status)
@@ -158,7 +158,8 @@
 }
 
 // Guards against a caller that loses its connection while the process works on its request: the
-// caller has sent all of it, and net/http reads on to notice whether the caller leaves.
+// caller has sent all of it, and net/http reads on to notice whether the caller leaves. All requests
+// come on one connection, so that no other one can expire.
 func TestCallerIsNotWaitedForWhileItsRequestIsHandled(t *testing.T) {
 	var s *Server
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -184,8 +185,13 @@
 			t.Error(err)
 		}
 	})
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{
+		Transport: transport,
+	}
 	for i := range 300 {
-		if status, _ := post(t, s, strings.Repeat("a", 100*i), i%2 == 0); status != http.StatusOK {
+		if status, _ := post(t, client, s, strings.Repeat("a", 100*i), i%2 == 0); status != http.StatusOK {
 			t.Fatalf("request %d: status %d", i, status)
 		}
 		if t.Failed() {
