--- a/pkg/orchestrator/interference_test.go
+++ b/pkg/orchestrator/interference_test.go
@@ -47,7 +47,10 @@
 	for i := range mixedTargets {
 		f := w.addTarget(fmt.Sprintf("t%02d", i), "desk", cores(16))
 		f.slowedBy = func(r *fakeRun) float64 {
-			return noiseOf(r) * l.misjudgement(r, w.jobs[r.task.Job].Steps[0].Count) * f.slowedByBatch(r, l.factor(w.now))
+			if r.noise == 0 {
+				r.noise = noiseOf(r) * l.misjudgement(r, w.jobs[r.task.Job].Steps[0].Count)
+			}
+			return r.noise * f.slowedByBatch(r, l.factor(w.now))
 		}
 	}
 	w.takeOver()
--- a/pkg/orchestrator/targets_test.go
+++ b/pkg/orchestrator/targets_test.go
@@ -52,6 +52,7 @@
 	runKey
 	image         string
 	pace          int     // in percent
+	noise         float64 // factor on its duration that is its own; zero if not drawn
 	baseLatency   float64 // tail latency without neighbours, in ms; zero if it serves nobody
 	started       time.Duration
 	duration      time.Duration
@@ -353,7 +354,7 @@
 
 // latency returns the tail latency that a target reports for a run.
 func (f *fakeTarget) latency(r *fakeRun) float64 {
-	if f.slowedBy == nil {
+	if f.slowedBy == nil || r.baseLatency == 0 {
 		return r.baseLatency
 	}
 	return r.baseLatency * f.slowedBy(r)
