--- a/internal/manager/admission_test.go
+++ b/internal/manager/admission_test.go
@@ -181,6 +181,35 @@
 	}
 }
 
+// Guards against jobs that go to cells at random after an outage of the store, when all reports are
+// old, although one cell has most of the pool.
+func TestCellsWithOldReportsCountByTheirCapacity(t *testing.T) {
+	now := time.Minute
+	view := newFleetView(Config{
+		Logger: hclog.NewNullLogger(),
+		Clock:  func() time.Duration { return now },
+	})
+	for cell, millicores := range map[string]int64{
+		"large": 1_600_000,
+		"small": 400_000,
+	} {
+		view.reports[cell] = receivedReport{
+			cellReport: cellReport{
+				Pools: []poolReport{{
+					Pool:       "desk",
+					Millicores: millicores,
+					BacklogMS:  60_000,
+				}},
+			},
+			at: now - 2*maxReportAge,
+		}
+	}
+	got := view.candidates([]string{"large", "small"}, "desk", "")
+	if len(got) != 2 || got[0].Millicores != 1_600_000 || got[1].Millicores != 400_000 || got[0].Backlog != 0 {
+		t.Errorf("got %+v, want the capacities that were reported last, without a backlog", got)
+	}
+}
+
 // Some jobs that would be refused are accepted, so that wrong refusals show.
 func TestFewJobsAreProbes(t *testing.T) {
 	probes := 0
--- a/internal/manager/fleet_view.go
+++ b/internal/manager/fleet_view.go
@@ -244,7 +244,8 @@
 }
 
 // candidates describes cells to the partitioner, for a job on a pool whose data is on a rack
-// ("" for none). Cells without a reliable report are left out unless there is none else.
+// ("" for none). Cells without a reliable report are left out unless there is none else; then those count by
+// the capacity that they reported last.
 func (v *fleetView) candidates(cells []string, pool, rack string) []partitioner.Candidate {
 	var candidates []partitioner.Candidate
 	for _, cell := range cells {
@@ -263,16 +264,27 @@
 		}
 		candidates = append(candidates, c)
 	}
-	if len(candidates) == 0 {
-		for _, cell := range cells {
-			candidates = append(candidates, partitioner.Candidate{
-				Cell: cell,
-			})
-		}
+	if len(candidates) > 0 {
+		return candidates
+	}
+	for _, cell := range cells {
+		candidates = append(candidates, partitioner.Candidate{
+			Cell:       cell,
+			Millicores: v.lastMillicores(cell, pool),
+		})
 	}
 	return candidates
 }
 
+// lastMillicores returns the capacity of a pool by the last report of a cell, however old it is.
+// After an outage of the store it is the best that is known.
+func (v *fleetView) lastMillicores(cell, pool string) int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r := v.reports[cell].cellReport
+	return r.pool(pool).Millicores
+}
+
 // wave returns the plan of a wave and the states that the cells have reported of their parts.
 func (v *fleetView) wave(number int) (plan wavePlan, planned bool, parts map[string]partState) {
 	v.mu.Lock()
