carrier: calls of other daemons are held to a budget

Cause: the listener at which daemons take calls from each other had the budget of the metrics listener, and read and decoded bodies without a reservation.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -15,7 +15,9 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 
+	"github.com/comfreyford/comfreyford/internal/drainer"
 	"github.com/comfreyford/comfreyford/internal/manager"
+	"github.com/comfreyford/comfreyford/pkg/budgeter"
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
 )
 
@@ -30,6 +32,9 @@
 	maxRequestBytes = 512 << 10
 	// maxAnswerBytes bounds an answer, which has no list.
 	maxAnswerBytes = 16 << 10
+	// callCopies is how often the text of a call is held beside its body: decoded, encoded for the
+	// store, and in the call to the store.
+	callCopies = 6
 	// maxOpen bounds the calls that a daemon answers for others at a time.
 	maxOpen = 64
 	// dialTimeout bounds the opening of a connection.
@@ -147,8 +152,15 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
-		if err != nil {
+		data, err := drainer.ReadBody(w, r, maxRequestBytes)
+		if err == nil {
+			err = drainer.Reserve(r.Context(), int64(len(data)*callCopies))
+		}
+		switch {
+		case errors.Is(err, budgeter.ErrNoRoom):
+			drainer.Refuse(w)
+			return
+		case err != nil:
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
--- a/pkg/budgeter/limits.go
+++ b/pkg/budgeter/limits.go
@@ -83,6 +83,16 @@
 	}
 }
 
+// Neighbors returns the budget for the listener at which other daemons hand over calls: half of the
+// bytes and a quarter of the connections that callers have.
+func (l Limits) Neighbors() Config {
+	cfg := l.Callers()
+	return Config{
+		Bytes:       max(cfg.Bytes/2, serviceBytes),
+		Connections: max(cfg.Connections/4, serviceConnections),
+	}
+}
+
 // Service returns the budget for a listener that only the platform and its operators use, such as
 // readiness and metrics. It is apart from that for callers, so that neither takes the other's room.
 func Service() Config {
