--- a/pkg/budgeter/budgeter.go
+++ b/pkg/budgeter/budgeter.go
@@ -80,14 +80,12 @@
 
 // Usage is what is held at the moment, and what was refused or given up so far.
 type Usage struct {
-	Bytes       int64
-	Connections int
-	// Refused counts connections and reservations that did not fit, Shed holders that gave way
-	// to others, Expired those that made no progress.
-	RefusedConnections  int64
-	RefusedReservations int64
-	Shed                int64
-	Expired             int64
+	Bytes               int64
+	Connections         int
+	RefusedConnections  int64 // did not fit
+	RefusedReservations int64 // did not fit
+	Shed                int64 // holders that gave way to others
+	Expired             int64 // holders without progress
 }
 
 // origin is what one origin holds.
