predictor: sums of tasks go by the mean, VMs by what they would allow

Cause: the prediction is close to the median, which leaves the tail out: the offered load and the work that is left were too small. And since capacity counts from its arrival, work that VMs could serve once they are there counted as late, which draws VMs only in the second place.

Change: MeanMS beside DurationMS; a second plan with the capacity that is coming decides which work VMs are moved for.

--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -164,7 +164,7 @@
 				p.demand.backlogCoreMS += s.forecast.coreMS
 			}
 			if !s.ready() {
-				if j.planned && s.step.Label == "" {
+				if j.reachable && s.step.Label == "" {
 					p.demand.upcomingMillicores += requested
 				}
 				continue
@@ -175,7 +175,7 @@
 			switch {
 			case s.step.Label != "":
 				p.demand.labelledMillicores[s.step.Label] += waiting
-			case j.planned || s.step.LongRunning:
+			case j.reachable || s.step.LongRunning:
 				p.demand.waitingMillicores += waiting
 			default:
 				p.demand.lateMillicores += waiting
--- a/pkg/orchestrator/duration.go
+++ b/pkg/orchestrator/duration.go
@@ -89,7 +89,7 @@
 	sum := 0.0
 	for i := range doc.Steps {
 		s := &doc.Steps[i]
-		sum += float64(s.Count) * d.Tasks.Predict(float64(s.EstimateMS)).DurationMS * float64(s.Needs.CPUMillis) / 1000
+		sum += float64(s.Count) * d.Tasks.Predict(float64(s.EstimateMS)).MeanMS * float64(s.Needs.CPUMillis) / 1000
 	}
 	return int64(sum)
 }
@@ -119,6 +119,7 @@
 // forecast is what is expected of a step. It is renewed with each plan.
 type forecast struct {
 	taskMS    float64 // duration of a task
+	meanMS    float64 // mean duration of tasks, with the tail of long ones
 	longestMS float64 // duration of the longest task
 	learnedAt time.Duration
 	coreMS    int64   // work that is left, in core-milliseconds
@@ -274,6 +275,7 @@
 	e.askLearned(s, now)
 	f := forecast{
 		taskMS:    s.forecast.taskMS,
+		meanMS:    s.forecast.meanMS,
 		longestMS: s.forecast.longestMS,
 		learnedAt: s.forecast.learnedAt,
 		totalMS:   s.longestDoneMS,
@@ -302,7 +304,11 @@
 				known = true
 			}
 		}
-		sum += left
+		if len(t.attempts) == 0 {
+			sum += f.meanMS
+		} else {
+			sum += left
+		}
 		if !known {
 			elapsed := f.taskMS - left
 			if unknown == 0 || elapsed < shortest {
@@ -329,11 +335,12 @@
 	}
 	f.learnedAt = now
 	estimate := float64(s.step.EstimateMS)
-	f.taskMS, f.longestMS = estimate, estimate
+	f.taskMS, f.meanMS, f.longestMS = estimate, estimate, estimate
 	if s.step.LongRunning {
 		return
 	}
-	f.taskMS = e.durations.tasks.Predict(s.taskKey(), estimate).DurationMS
+	task := e.durations.tasks.Predict(s.taskKey(), estimate)
+	f.taskMS, f.meanMS = task.DurationMS, task.MeanMS
 	f.longestMS = max(f.taskMS, e.durations.longest.Predict(s.longestKey(), estimate).DurationMS)
 }
 
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -16,6 +16,7 @@
 	arrival        time.Duration  // when it was accepted, on the engine's clock
 	overShare      bool           // beyond the job rate that its team is entitled to
 	planned        bool           // expected to end on time
+	reachable      bool           // expected to if VMs that are coming were there
 	cancelled      bool
 	state          jobkeeper.State
 	reason         string
@@ -214,7 +215,7 @@
 	}
 	e.active = append(e.active, j)
 	j.overShare = e.exceedsShare(doc, now)
-	j.planned = true
+	j.planned, j.reachable = true, true
 	fresh := created > e.cfg.Fence
 	e.openOccurrences(now, nowMS)
 	if fresh && !doc.Scheduled() && !doc.LongRunning() && !j.overShare {
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -40,8 +40,13 @@
 		capacity := e.planCapacity(p, now)
 		planned := sequencer.Plan(list, capacity)
 		p.waits = sequencer.OnTimeWaits(list, planned, capacity)
+		reachable := planned
+		if capacity.Coming > 0 {
+			reachable = sequencer.Plan(list, capacity.Reachable())
+		}
 		for _, w := range list {
-			e.jobs[w.ID].planned = planned[w.ID]
+			j := e.jobs[w.ID]
+			j.planned, j.reachable = planned[w.ID], reachable[w.ID]
 		}
 	}
 }
--- a/pkg/predictor/predictor.go
+++ b/pkg/predictor/predictor.go
@@ -33,6 +33,8 @@
 	// minDeviation bounds the mean deviation from below, so that a change of the durations
 	// after a time without any spread is not clipped away.
 	minDeviation = 0.05
+	// maxRatio bounds the part of one task in the mean of durations.
+	maxRatio = 10
 	// DefaultMaxOffsets is the value that is used for a Config without MaxOffsets.
 	DefaultMaxOffsets = 4096
 	// maxQueues bounds the regressions. Queues come from the configuration, so this many are in
@@ -64,7 +66,9 @@
 
 // Prediction is a predicted duration.
 type Prediction struct {
-	DurationMS float64
+	DurationMS float64 // close to the median
+	// MeanMS is the mean, with the tail of long tasks; sums of many tasks go by it.
+	MeanMS float64
 	// Deviation is the mean deviation of the logarithm of durations from that of predictions.
 	Deviation float64
 	// EstimateWeight in [0, 1] is the share of the durations that estimates have explained.
@@ -107,7 +111,11 @@
 	if s.Weight > 0 || o.EstimateMS > 0 {
 		residual = max(-limit, min(limit, residual))
 	}
-	s.observe(o.EstimateMS, base+residual)
+	ratio := 1.0
+	if predicted := p.Predict(o.Key, o.EstimateMS).DurationMS; predicted > 0 {
+		ratio = min(maxRatio, o.DurationMS/predicted)
+	}
+	s.observe(o.EstimateMS, base+residual, ratio)
 	p.queues.put(o.Queue, s)
 	for _, k := range o.offsetKeys() {
 		off, _ := p.offsets.get(k)
@@ -131,7 +139,9 @@
 		off, _ := p.offsets.get(key)
 		sum += off.value()
 	}
-	prediction.DurationMS *= math.Exp(sum)
+	factor := math.Exp(sum)
+	prediction.DurationMS *= factor
+	prediction.MeanMS *= factor
 	return prediction
 }
 
--- a/pkg/predictor/summary.go
+++ b/pkg/predictor/summary.go
@@ -13,18 +13,21 @@
 	VarianceY float64 `cbor:"6,keyasint,omitempty"`
 	Covary    float64 `cbor:"7,keyasint,omitempty"`
 	Deviation float64 `cbor:"8,keyasint,omitempty"` // mean absolute residual
+	MeanRatio float64 `cbor:"9,keyasint,omitempty"` // mean of durations relative to predictions
 }
 
 // Predict returns the predicted duration of a task of the queue with the estimate of its caller.
 func (s Summary) Predict(estimateMS float64) Prediction {
 	p := Prediction{
 		DurationMS:     estimateMS,
+		MeanMS:         estimateMS,
 		Deviation:      s.deviation(),
 		EstimateWeight: s.slope(),
 		Samples:        s.Weight,
 	}
 	if s.Weight > 0 {
 		p.DurationMS = math.Exp(s.predict(estimateMS))
+		p.MeanMS = p.DurationMS * s.meanRatio()
 	}
 	return p
 }
@@ -32,7 +35,7 @@
 // Rounded returns the summary with figures of three decimal places and the weight as a power of
 // two, so that single observations seldom change a published summary.
 func (s Summary) Rounded() Summary {
-	for _, x := range []*float64{&s.MeanX, &s.MeanY, &s.VarianceX, &s.VarianceY, &s.Covary, &s.Deviation} {
+	for _, x := range []*float64{&s.MeanX, &s.MeanY, &s.VarianceX, &s.VarianceY, &s.Covary, &s.Deviation, &s.MeanRatio} {
 		*x = math.Round(*x*1000) / 1000
 	}
 	if s.Weight > 0 {
@@ -43,7 +46,7 @@
 
 // valid reports whether the summary, which another daemon has written, can be used.
 func (s Summary) valid() bool {
-	for _, x := range []float64{s.Weight, s.MeanX, s.MeanY, s.VarianceX, s.VarianceY, s.Covary, s.Deviation} {
+	for _, x := range []float64{s.Weight, s.MeanX, s.MeanY, s.VarianceX, s.VarianceY, s.Covary, s.Deviation, s.MeanRatio} {
 		if math.IsNaN(x) || math.IsInf(x, 0) {
 			return false
 		}
@@ -73,13 +76,18 @@
 	return max(0, min(1, (prior+s.Weight*s.Covary)/(prior+s.Weight*s.VarianceX)))
 }
 
+// meanRatio returns the mean of durations relative to predictions. A tail of long tasks raises it.
+func (s Summary) meanRatio() float64 {
+	return (priorWeight + s.Weight*s.MeanRatio) / (priorWeight + s.Weight)
+}
+
 func (s Summary) deviation() float64 {
 	return max(minDeviation, (priorWeight*initialDeviation+s.Weight*s.Deviation)/(priorWeight+s.Weight))
 }
 
-// observe adds a duration, given as its logarithm. One without an estimate counts as if the
+// observe adds a duration, given as its logarithm and relative to the prediction. One without an estimate counts as if the
 // estimate had been the usual one.
-func (s *Summary) observe(estimateMS, y float64) {
+func (s *Summary) observe(estimateMS, y, ratio float64) {
 	x := s.MeanX
 	switch {
 	case estimateMS > 0:
@@ -100,4 +108,5 @@
 	s.VarianceY += share * ((1-share)*dy*dy - s.VarianceY)
 	s.Covary += share * ((1-share)*dx*dy - s.Covary)
 	s.Deviation += share * (residual - s.Deviation)
+	s.MeanRatio += share * (ratio - s.MeanRatio)
 }
--- a/pkg/sequencer/plan.go
+++ b/pkg/sequencer/plan.go
@@ -31,6 +31,14 @@
 	TeamMillicores map[string]int64 // in millicores, for teams with an upper limit
 }
 
+// Reachable returns the capacity as if all that is coming were there. VMs are moved for the work
+// that it allows, as they would come too late for a plan that waits for them.
+func (c Capacity) Reachable() Capacity {
+	c.Millicores = max(0, c.Millicores) + c.Coming
+	c.Coming, c.ComingIn = 0, 0
+	return c
+}
+
 // BusyTime returns how long the pool is busy with the given work, in core-milliseconds: at first
 // with the capacity that it has, then with what is coming too.
 func (c Capacity) BusyTime(coreMS int64) time.Duration {
