--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -17,6 +17,7 @@
 	arrival        time.Duration  // when it was accepted, on the engine's clock
 	overShare      bool           // beyond the job rate that its team is entitled to
 	planned        bool           // expected to end on time
+	reachable      bool           // expected to if VMs that are coming were there
 	cancelled      bool
 	state          jobkeeper.State
 	reason         string
@@ -221,7 +222,7 @@
 	}
 	e.active = append(e.active, j)
 	j.overShare = e.exceedsShare(doc, now)
-	j.planned = true
+	j.planned, j.reachable = true, true
 	e.openOccurrences(now, nowMS)
 	e.recordArrival(j, created > e.cfg.Fence, now)
 	if progress != nil {
