orchestrator: VMs that can be ordered at once count as there

Cause: at the start of a burst a plan that waits 1.7 s for VMs leaves work out that they serve in time. Change: what is coming counts later only while a new owner may not order moves.

--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -74,8 +74,10 @@
 
 // attainable returns the capacity, in millicores, that a pool could gain by moves, and the mean
 // time until it arrives: of VMs with a pending order that will be in it, VMs of spare pools, and
-// idle VMs of other pools. The platform limits the rate of orders, and a new owner gives none
-// before Config.VMOrderDelay has passed.
+// idle VMs of other pools. A new owner orders none before Config.VMOrderDelay has passed, and then
+// at the rate that the platform accepts. After that, VMs count as if they were there: most work that
+// can reach them is on time, and at the start of a burst a plan that waits for them leaves work out
+// that they serve.
 func (e *Engine) attainable(p *pool, now time.Duration) (millicores int64, in time.Duration) {
 	var ordered, others int64
 	count := 0
@@ -92,11 +94,12 @@
 			count++
 		}
 	}
-	if ordered+others == 0 {
-		return 0, 0
+	untilOrder := e.cfg.AcquiredAt + e.cfg.VMOrderDelay - now
+	if ordered+others == 0 || untilOrder <= 0 {
+		return ordered + others, 0
 	}
 	rounds := time.Duration(count / max(1, e.movesPerRound()))
-	untilOrder := max(0, e.cfg.AcquiredAt+e.cfg.VMOrderDelay-now) + rounds*moveInterval/2
+	untilOrder += rounds * moveInterval / 2
 	weight := float64(others) / float64(ordered+others)
 	return ordered + others, vmMoveTime/2 + time.Duration(weight*float64(untilOrder+vmMoveTime/2))
 }
