orchestrator: present work comes before a forecast

Cause: pools were served in the order of their shortage with the forecast in it, so VMs that came for a forecast whose time was off were missing where work waited. Change: all pools get VMs for present work first, also idle ones that another pool has for its forecast; only a certainty of 0.5 or more is used; targets are closed for present work only.

--- a/pkg/orchestrator/forecast.go
+++ b/pkg/orchestrator/forecast.go
@@ -24,8 +24,9 @@
 	// forecastParkDelay is how long a target must be idle before it goes to a spare pool if it
 	// is certain that its pool does not need it for the time of a move there and back.
 	forecastParkDelay = moveDelay
-	// minParkCertainty is the certainty from which that holds.
-	minParkCertainty = 0.5
+	// minCertainty is the certainty from which a forecast is used. Below it, VMs that come at
+	// the wrong time are missing where work waits.
+	minCertainty = 0.5
 )
 
 // forecast predicts the load of the pools and learns how long VMs take to move.
@@ -96,7 +97,7 @@
 	for name, p := range e.pools {
 		p.forecast = poolForecast{}
 		arriving, ok := f.forecaster.Predict(name, now, now+lead)
-		if !ok {
+		if !ok || arriving.Certainty() < minCertainty {
 			continue
 		}
 		returning, ok := f.forecaster.Predict(name, now, now+2*lead)
@@ -144,21 +145,19 @@
 
 // parkDelay returns how long a target of the pool must be idle before it goes to a spare pool.
 func (p *pool) parkDelay() time.Duration {
-	if p.forecast.certainty >= minParkCertainty {
+	if p.forecast.certainty >= minCertainty {
 		return forecastParkDelay
 	}
 	return parkDelay
 }
 
-// addVMsInTime moves VMs to a pool for work that is on time and for the load that is expected.
-// It returns the number of moves.
-func (e *Engine) addVMsInTime(p *pool, maxMoves int, now time.Duration) int {
-	moved := e.addVMs(p, p.presentShortage(now), maxMoves, now)
-	ahead := e.addVMs(p, p.shortage(now), maxMoves-moved, now)
-	if ahead > 0 {
-		e.logAhead(p, ahead, now)
+// addVMsAhead moves VMs to a pool for the load that is expected. It returns the number of moves.
+func (e *Engine) addVMsAhead(p *pool, maxMoves int, now time.Duration) int {
+	moved := e.addVMs(p, p.shortage(now), maxMoves, true, now)
+	if moved > 0 {
+		e.logAhead(p, moved, now)
 	}
-	return moved + ahead
+	return moved
 }
 
 // logAhead logs that VMs were ordered for a load that is expected.
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -57,18 +57,25 @@
 	}
 	movesLeft := e.movesPerRound()
 	names := slices.Sorted(maps.Keys(e.pools))
-	sort.SliceStable(names, func(i, j int) bool { return e.pools[names[i]].shortage(now) > e.pools[names[j]].shortage(now) })
+	sort.SliceStable(names, func(i, j int) bool {
+		return e.pools[names[i]].presentShortage(now) > e.pools[names[j]].presentShortage(now)
+	})
 	for _, name := range names {
 		if p := e.pools[name]; !e.spare(name) {
 			movesLeft -= e.addVMsForLabels(p, movesLeft, now)
 			movesLeft -= e.addVMsForUnschedulable(p, movesLeft, now)
-			movesLeft -= e.addVMsInTime(p, movesLeft, now)
+			movesLeft -= e.addVMs(p, p.presentShortage(now), movesLeft, false, now)
 		}
 	}
 	e.cordon(now)
 	for _, name := range names {
 		if p := e.pools[name]; !e.spare(name) {
-			movesLeft -= e.addVMs(p, p.shortage(now)+p.demand.lateMillicores, movesLeft, now)
+			movesLeft -= e.addVMsAhead(p, movesLeft, now)
+		}
+	}
+	for _, name := range names {
+		if p := e.pools[name]; !e.spare(name) {
+			movesLeft -= e.addVMs(p, p.presentShortage(now)+p.demand.lateMillicores, movesLeft, false, now)
 		}
 	}
 	e.park(movesLeft, now)
@@ -154,7 +161,7 @@
 		if wanted <= 0 {
 			continue
 		}
-		for _, id := range e.movable(p.name, now) {
+		for _, id := range e.movable(p.name, false, now) {
 			if wanted <= 0 || moved >= maxMoves {
 				break
 			}
@@ -187,7 +194,7 @@
 		if shortage <= 0 {
 			continue
 		}
-		for _, id := range e.movable(p.name, now) {
+		for _, id := range e.movable(p.name, false, now) {
 			vm := e.fleet.vms[id]
 			if !slices.Contains(vm.Labels, label) {
 				continue
@@ -211,11 +218,11 @@
 	})
 }
 
-// addVMs moves VMs to a pool that lacks a capacity in millicores. It returns the number of
-// moves.
-func (e *Engine) addVMs(p *pool, shortage int64, maxMoves int, now time.Duration) int {
+// addVMs moves VMs to a pool that lacks a capacity in millicores, now or ahead. It returns the
+// number of moves.
+func (e *Engine) addVMs(p *pool, shortage int64, maxMoves int, ahead bool, now time.Duration) int {
 	moved := 0
-	for _, vm := range e.movable(p.name, now) {
+	for _, vm := range e.movable(p.name, ahead, now) {
 		size := e.fleet.vms[vm].Capacity.CPUMillis
 		if moved >= maxMoves || size <= 0 || shortage-int64(e.moves.pending[p.name])*size < size/4 {
 			break
@@ -236,8 +243,9 @@
 }
 
 // movable returns the VMs that could move to the pool now: those of spare pools first,
-// then idle ones of other pools with a surplus.
-func (e *Engine) movable(pool string, now time.Duration) []string {
+// then idle ones of other pools with a surplus. VMs that a pool has for its forecast are no
+// surplus for another forecast, but for present work.
+func (e *Engine) movable(pool string, ahead bool, now time.Duration) []string {
 	var spares, idle []string
 	for _, id := range slices.Sorted(maps.Keys(e.fleet.vms)) {
 		vm := e.fleet.vms[id]
@@ -253,7 +261,11 @@
 			continue
 		}
 		p := e.pool(vm.Pool)
-		if t.cordoned || p.demand.usable > e.keptTargets(p, moveMinShare) && p.shortage(now)+t.Capacity.CPUMillis <= 0 {
+		shortage := p.presentShortage(now)
+		if ahead {
+			shortage = p.shortage(now)
+		}
+		if t.cordoned || p.demand.usable > e.keptTargets(p, moveMinShare) && shortage+t.Capacity.CPUMillis <= 0 {
 			idle = append(idle, id)
 		}
 	}
@@ -278,12 +290,12 @@
 	var shortage int64
 	for _, p := range e.pools {
 		if !e.spare(p.name) {
-			shortage += max(0, p.shortage(now)-int64(e.moves.pending[p.name])*e.meanVMMillicores())
+			shortage += max(0, p.presentShortage(now)-int64(e.moves.pending[p.name])*e.meanVMMillicores())
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(e.pools)) {
 		p := e.pools[name]
-		surplus := -p.shortage(now)
+		surplus := -p.presentShortage(now)
 		for _, t := range p.targets {
 			if !t.cordoned {
 				continue
