orchestrator: orders of VMs that leave the fleet are forgotten by the forecast

Cause: an order to move a VM that left the fleet before it arrived stayed in the map from which the time of a move is learned. The condition for VMs that begin early in a wave has a name.

--- a/pkg/orchestrator/forecast.go
+++ b/pkg/orchestrator/forecast.go
@@ -125,7 +125,7 @@
 			took := min(maxMoveTime, t.firstSeenAt-at)
 			f.moveTime += time.Duration(moveTimeWeight * float64(took-f.moveTime))
 			delete(f.ordered, vm)
-		case !pending && e.fleet.vms[vm].State == VMUp && e.fleet.listedAt > at+maxMoveTime:
+		case !pending && e.fleet.listedAt > at+maxMoveTime:
 			delete(f.ordered, vm)
 		}
 	}
--- a/pkg/orchestrator/wave.go
+++ b/pkg/orchestrator/wave.go
@@ -210,7 +210,7 @@
 	queued := map[*stepState]int{} // VMs that wait for the disruption budget of a step
 	for _, vm := range remaining {
 		hasSlot := slots+evacuateAhead > 0
-		if t := e.targetOn(vm); !hasSlot && (early <= 0 || t == nil || !t.evacuating && !t.hasLongRunning()) || now < e.fleet.retryAt[vm] {
+		if !hasSlot && (early <= 0 || !e.takesTurns(vm)) || now < e.fleet.retryAt[vm] {
 			continue
 		}
 		exhausted := e.exhaustedBudgets(vm, now)
@@ -230,6 +230,13 @@
 	}
 }
 
+// takesTurns reports whether a VM is being emptied or has long-running tasks, which leave it within
+// disruption budgets.
+func (e *Engine) takesTurns(vm string) bool {
+	t := e.targetOn(vm)
+	return t != nil && (t.evacuating || t.hasLongRunning())
+}
+
 // exhaustedBudgets returns the steps of which a long-running task on the VM may not be
 // interrupted now.
 func (e *Engine) exhaustedBudgets(vm string, now time.Duration) []*stepState {
