--- a/pkg/orchestrator/evacuation.go
+++ b/pkg/orchestrator/evacuation.go
@@ -16,11 +16,10 @@
 // disruption budgets and the room elsewhere allow.
 
 const (
-	// coldPenaltyTime is how long a target has to be cold still to count as twice as slow as a
-	// warm one.
+	// coldPenaltyTime is the remaining time of slowness after its start at which a target counts
+	// as twice as slow as a warm one.
 	coldPenaltyTime = 10 * time.Second
-	// maxColdSlowdown is below maxSlowdown, so that a cold target takes what has room on no
-	// other one.
+	// maxColdSlowdown is below maxSlowdown, so that a cold target takes what has room nowhere else.
 	maxColdSlowdown = 2.0
 	// evacuatedParkDelay is how long a target of an evacuated zone must be idle before its VM
 	// goes to a spare pool. After a shorter evacuation, it would have to be moved back at once.
@@ -49,7 +48,7 @@
 		e.fleet.evacuated[zone] = now
 		targets, runs := 0, 0
 		for _, t := range e.targets {
-			if !t.registered || !e.inEvacuatedZone(t) {
+			if !t.registered || e.zoneOf(t) != zone {
 				continue
 			}
 			targets++
