neighbors: without one, the store is tried until calls have failed for a second

Cause: found by reading: a single lost answer of a wait for changes had calls refused without a try for up to 0.45 s on a daemon that knows no neighbor, though the store served it. An error of the renewal of the address was dropped.

Change: a call skips the store after 0.2 s of failures only if a neighbor could serve it, otherwise after a second. The error is returned and logged.

Measured: tests of pkg/forwarder, internal/manager and internal/carrier pass.

--- a/internal/manager/neighbor.go
+++ b/internal/manager/neighbor.go
@@ -148,8 +148,11 @@
 func (n *neighborhood) refresh(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, 4*storeTimeout)
 	defer cancel()
-	if err := n.cfg.Store.Renew(call, n.lease); errors.Is(err, storer.ErrLeaseNotFound) {
+	switch err := n.cfg.Store.Renew(call, n.lease); {
+	case errors.Is(err, storer.ErrLeaseNotFound):
 		n.lease = 0
+	case err != nil:
+		return err
 	}
 	var neighbors []forwarder.Neighbor
 	published := false
@@ -196,7 +199,7 @@
 		return local(ctx, call)
 	}
 	result := unavailable("store unavailable")
-	if !f.neighbors.router.Unserved(f.cfg.Clock()) {
+	if !f.neighbors.router.SkipsStore(f.cfg.Clock()) {
 		result = local(ctx, call)
 	}
 	if result.Verdict != VerdictUnavailable && result.Verdict != VerdictUnknown {
