neighbors: calls skip the store after 0.2 s of failures again

Change: the threshold is back at 0.2 s; the error of a renewal stays returned. A daemon that knows no neighbor may refuse for up to 0.45 s after a lost answer; open.

Tests of pkg/forwarder, internal/manager and internal/carrier pass.

--- a/internal/manager/neighbor.go
+++ b/internal/manager/neighbor.go
@@ -199,7 +199,7 @@
 		return local(ctx, call)
 	}
 	result := unavailable("store unavailable")
-	if !f.neighbors.router.SkipsStore(f.cfg.Clock()) {
+	if !f.neighbors.router.Unserved(f.cfg.Clock()) {
 		result = local(ctx, call)
 	}
 	if result.Verdict != VerdictUnavailable && result.Verdict != VerdictUnknown {
--- a/pkg/forwarder/forwarder.go
+++ b/pkg/forwarder/forwarder.go
@@ -32,9 +32,6 @@
 	// distrustAfter is how long calls to the store have to fail until calls are handed on without
 	// a try there.
 	distrustAfter = 200 * time.Millisecond
-	// outageAfter is how long they have to fail until calls that no neighbor serves are refused
-	// without a try there. A single lost answer of a wait for changes is made up for by then.
-	outageAfter = time.Second
 	// firstPause is how long a neighbor gets no calls after a failed one. It doubles with each
 	// further failure up to maxPause.
 	firstPause = 250 * time.Millisecond
@@ -142,24 +139,12 @@
 	clear(r.circuits) // the store likely serves the neighbors again, too
 }
 
-// Unserved reports whether the store has turned this daemon away for so long that a call which no
-// neighbor serves is refused without a try there.
+// Unserved reports whether the store has turned this daemon away for long enough that calls are
+// handed on without a try there.
 func (r *Router) Unserved(now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.failing && now-r.failingSince >= outageAfter
-}
-
-// SkipsStore reports whether a call is not to be tried at the store: calls there fail, and a neighbor
-// could serve it, or they have failed for so long that it is refused.
-func (r *Router) SkipsStore(now time.Duration) bool {
-	if r.Unserved(now) {
-		return true
-	}
-	open := r.HasOpen(now)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return open && r.failing && now-r.failingSince >= distrustAfter
+	return r.failing && now-r.failingSince >= distrustAfter
 }
 
 // Next returns the neighbor to hand a call to; ok is false if the call is to be answered without
