--- a/internal/manager/neighbor.go
+++ b/internal/manager/neighbor.go
@@ -148,8 +148,11 @@
 func (n *neighborhood) refresh(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, 4*storeTimeout)
 	defer cancel()
-	if err := n.cfg.Store.Renew(call, n.lease); errors.Is(err, storer.ErrLeaseNotFound) {
+	switch err := n.cfg.Store.Renew(call, n.lease); {
+	case errors.Is(err, storer.ErrLeaseNotFound):
 		n.lease = 0
+	case err != nil:
+		return err
 	}
 	var neighbors []forwarder.Neighbor
 	published := false
