partitioner: a VM that is listed after the division of a wave goes to its cell

The owner of the first cell divided the wave 50 ms before it read a list with these VMs, which had just started again. VMs that no list shows go to the first cell, whose owner never sees those of another cell and took them for gone.

Change: the plan moves a VM to the part of the cell that lists it; allotments go by the sizes at the division, so that they stay. A VM counts as gone when the lists of 3 s lack it, not after a single one, whose pages are read one after the other. A part that gets a VM after its end is open again.

--- a/internal/manager/wave_planner.go
+++ b/internal/manager/wave_planner.go
@@ -60,17 +60,21 @@
 		settled[cell] = state == partSettled
 	}
 	next := plan
+	cells := o.cellsOfVMs()
+	reassigned := false
 	if !planned {
-		cells := o.cellsOfVMs()
 		if cells == nil {
 			return
 		}
 		next.Parts = o.layout.SplitWave(w.VMs, w.MaxUnavailable, func(vm string) string { return cells[vm] })
 	} else {
 		next.Parts = partitioner.AllotWave(plan.Parts, w.MaxUnavailable, settled)
+		if !plan.Complete {
+			next.Parts, reassigned = partitioner.ReassignWave(next.Parts, func(vm string) string { return cells[vm] })
+		}
 	}
-	next.Complete = !slices.ContainsFunc(next.Parts, func(p partitioner.WavePart) bool { return parts[p.Cell] == partOpen })
-	if planned && next.Complete == plan.Complete && slices.EqualFunc(next.Parts, plan.Parts, func(a, b partitioner.WavePart) bool { return a.MaxUnavailable == b.MaxUnavailable }) {
+	next.Complete = !reassigned && !slices.ContainsFunc(next.Parts, func(p partitioner.WavePart) bool { return parts[p.Cell] == partOpen })
+	if planned && !reassigned && next.Complete == plan.Complete && slices.EqualFunc(next.Parts, plan.Parts, func(a, b partitioner.WavePart) bool { return a.MaxUnavailable == b.MaxUnavailable }) {
 		return
 	}
 	data, err := cbor.Marshal(next)
--- a/pkg/orchestrator/wave.go
+++ b/pkg/orchestrator/wave.go
@@ -1,6 +1,8 @@
 package orchestrator
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 )
@@ -51,6 +53,7 @@
 	Wave
 	seenAt   time.Duration
 	done     map[string]bool
+	missing  map[string]time.Duration // VMs that are not listed, and the first list without them
 	complete bool
 	dirty    bool
 }
@@ -97,13 +100,17 @@
 func (e *Engine) AddWave(w Wave, state *WaveState, now time.Duration) {
 	if known := e.fleet.waves[w.Number]; known != nil {
 		known.Wave = w
+		if known.complete && !known.allDone() {
+			known.complete, known.dirty = false, true
+		}
 		return
 	}
 	added := &wave{
-		Wave:   w,
-		seenAt: now,
-		done:   map[string]bool{},
-		dirty:  true,
+		Wave:    w,
+		seenAt:  now,
+		done:    map[string]bool{},
+		missing: map[string]time.Duration{},
+		dirty:   true,
 	}
 	if state != nil {
 		added.complete = state.Complete
@@ -192,16 +199,16 @@
 			down++
 		case w.done[vm]:
 		case !listed:
-			// The VM has left the fleet.
-			if e.fleet.listedAt > w.seenAt {
-				w.done[vm] = true
-				w.dirty = true
-			}
+			e.noteMissing(w, vm)
 		case state.State == VMUp && !ordered:
 			remaining = append(remaining, vm)
 			e.fleet.awaitingMaintenance[vm] = true
 		}
 	}
+	maps.DeleteFunc(w.missing, func(vm string, _ time.Duration) bool {
+		_, listed := e.fleet.vms[vm]
+		return listed
+	})
 	e.finishWave(w, now)
 	order := e.newWaveOrder(w, remaining, now)
 	order.sort(remaining)
@@ -219,6 +226,29 @@
 	}
 }
 
+// leftFleetAfter is how long a VM has to be missing from the lists of VMs until it counts as gone.
+// The pages of a list are read one after the other, so that a single list may lack a VM.
+const leftFleetAfter = 3 * time.Second
+
+// noteMissing notes that the latest list lacks a VM of a wave. If all have for leftFleetAfter, the
+// VM has left the fleet and needs no maintenance.
+func (e *Engine) noteMissing(w *wave, vm string) {
+	if e.fleet.listedAt <= w.seenAt {
+		return
+	}
+	since, known := w.missing[vm]
+	if !known {
+		w.missing[vm] = e.fleet.listedAt
+		return
+	}
+	if e.fleet.listedAt-since < leftFleetAfter {
+		return
+	}
+	w.done[vm] = true
+	w.dirty = true
+	e.cfg.Logger.Info("VM of a wave has left the fleet", "wave", w.Number, "vm", vm, "missing_ms", (e.fleet.listedAt - since).Milliseconds())
+}
+
 // prepareMaintenance empties a VM and, once it is empty and canOrder is set, orders its
 // maintenance. If the wave is overdue it stops the remaining tasks.
 func (e *Engine) prepareMaintenance(w *wave, vm string, preparing map[string]bool, canOrder, overdue bool, now time.Duration) {
@@ -257,12 +287,15 @@
 	}
 }
 
+// allDone reports whether all VMs of the wave are maintained or have left the fleet.
+func (w *wave) allDone() bool {
+	return !slices.ContainsFunc(w.VMs, func(vm string) bool { return !w.done[vm] })
+}
+
 // finishWave completes a wave when all its VMs are maintained or have left the fleet.
 func (e *Engine) finishWave(w *wave, now time.Duration) {
-	for _, vm := range w.VMs {
-		if !w.done[vm] {
-			return
-		}
+	if !w.allDone() {
+		return
 	}
 	w.complete = true
 	w.dirty = true
--- a/pkg/orchestrator/wave_test.go
+++ b/pkg/orchestrator/wave_test.go
@@ -102,3 +102,32 @@
 	}
 	w.verify()
 }
+
+// The pages of a list of VMs are read one after the other, so that a list may lack a VM. A VM that
+// has left the fleet must not keep a wave open.
+func TestVMMissingFromOneListIsMaintained(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leaves %t", leaves), func(t *testing.T) {
+			w := newWorldWithTargets(t, 3)
+			w.run(time.Second)
+			missing := w.targets["t0"]
+			vm := missing.VM
+			w.startWave([]string{vm, w.targets["t1"].VM}, 20*time.Second, 1)
+			delete(w.targets, "t0")
+			w.run(time.Second)
+			if !leaves {
+				w.targets["t0"] = missing
+			}
+			w.runUntil(10*time.Second, func() bool {
+				complete, _ := w.engine.WaveProgress(1)
+				return complete
+			})
+			if complete, _ := w.engine.WaveProgress(1); !complete {
+				t.Error("the wave is not complete")
+			}
+			if maintained := missing.StartedUnixMS != 1; maintained == leaves {
+				t.Errorf("the VM was maintained: %t, want %t", maintained, !leaves)
+			}
+		})
+	}
+}
--- a/pkg/partitioner/partitioner_test.go
+++ b/pkg/partitioner/partitioner_test.go
@@ -357,3 +357,60 @@
 		t.Errorf("parts are %+v, want %+v", got, want)
 	}
 }
+
+// A VM that no list shows when a wave is divided goes to the first cell. If a list shows it in
+// another cell later, that one has to maintain it: the first cell takes it for gone.
+func TestVMListedAfterTheDivisionOfAWaveGoesToItsCell(t *testing.T) {
+	parts := []partitioner.WavePart{
+		{
+			Cell:           "a",
+			VMs:            []string{"a1", "late", "gone"},
+			MaxUnavailable: 2,
+			Size:           3,
+		},
+		{
+			Cell:           "b",
+			VMs:            []string{"b1"},
+			MaxUnavailable: 1,
+			Size:           1,
+		},
+	}
+	tests := []struct {
+		name    string
+		cells   map[string]string
+		want    [][]string
+		changed bool
+	}{
+		{
+			name:  "not listed yet",
+			cells: map[string]string{"a1": "a", "b1": "b"},
+			want:  [][]string{{"a1", "late", "gone"}, {"b1"}},
+		},
+		{
+			name:    "listed in another cell",
+			cells:   map[string]string{"a1": "a", "b1": "b", "late": "b"},
+			want:    [][]string{{"a1", "gone"}, {"b1", "late"}},
+			changed: true,
+		},
+		{
+			name:  "listed in a cell without a part",
+			cells: map[string]string{"a1": "a", "b1": "b", "late": "c"},
+			want:  [][]string{{"a1", "late", "gone"}, {"b1"}},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, changed := partitioner.ReassignWave(parts, func(vm string) string { return test.cells[vm] })
+			if changed != test.changed {
+				t.Errorf("changed: %t, want %t", changed, test.changed)
+			}
+			for i, p := range partitioner.AllotWave(got, 3, nil) {
+				slices.Sort(test.want[i])
+				slices.Sort(p.VMs)
+				if !slices.Equal(p.VMs, test.want[i]) || p.MaxUnavailable != parts[i].MaxUnavailable {
+					t.Errorf("part %s has %v with %d at once, want %v with %d", p.Cell, p.VMs, p.MaxUnavailable, test.want[i], parts[i].MaxUnavailable)
+				}
+			}
+		})
+	}
+}
--- a/pkg/partitioner/wave.go
+++ b/pkg/partitioner/wave.go
@@ -1,6 +1,7 @@
 package partitioner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -11,8 +12,13 @@
 	VMs  []string `cbor:"2,keyasint,omitempty"`
 	// MaxUnavailable is how many VMs of the part may be down at once.
 	MaxUnavailable int `cbor:"3,keyasint,omitempty"`
+	// Size is the number of VMs of the part when the wave was divided. MaxUnavailable is allotted by
+	// it, so that VMs that are reassigned later take nothing from a part.
+	Size int `cbor:"4,keyasint,omitempty"`
 }
 
+func (p WavePart) size() int { return cmp.Or(p.Size, len(p.VMs)) }
+
 // SplitWave divides the VMs of a wave among the cells. cellOf returns the cell of a VM; VMs
 // for which it returns "" go to the first cell.
 func (l Layout) SplitWave(vms []string, maxUnavailable int, cellOf func(vm string) string) []WavePart {
@@ -29,11 +35,37 @@
 		parts = append(parts, WavePart{
 			Cell: cell,
 			VMs:  byCell[cell],
+			Size: len(byCell[cell]),
 		})
 	}
 	return AllotWave(parts, maxUnavailable, nil)
 }
 
+// ReassignWave moves VMs to the parts of their cells, and reports whether any was in another part:
+// a VM that no list showed when the wave was divided is in that of the first cell. cellOf returns ""
+// for VMs that are not known. The parts keep their MaxUnavailable, on which owners may be acting; a
+// VM whose cell has no part stays where it is.
+func ReassignWave(parts []WavePart, cellOf func(vm string) string) ([]WavePart, bool) {
+	reassigned := slices.Clone(parts)
+	index := map[string]int{}
+	for i, p := range reassigned {
+		index[p.Cell] = i
+		reassigned[i].VMs = nil
+	}
+	changed := false
+	for i, p := range parts {
+		for _, vm := range p.VMs {
+			to, known := index[cellOf(vm)]
+			if !known {
+				to = i
+			}
+			changed = changed || to != i
+			reassigned[to].VMs = append(reassigned[to].VMs, vm)
+		}
+	}
+	return reassigned, changed
+}
+
 // AllotWave returns the parts with their MaxUnavailable set, which add up to at most
 // maxUnavailable. Parts that are complete, with none of their VMs down, get none. It uses
 // the highest averages (D'Hondt), so that no part loses when another one completes: an owner
@@ -46,10 +78,10 @@
 	for range maxUnavailable {
 		best := -1
 		for i, p := range allotted {
-			if complete[p.Cell] || p.MaxUnavailable >= len(p.VMs) {
+			if complete[p.Cell] || p.MaxUnavailable >= p.size() {
 				continue
 			}
-			if best < 0 || len(p.VMs)*(allotted[best].MaxUnavailable+1) > len(allotted[best].VMs)*(p.MaxUnavailable+1) {
+			if best < 0 || p.size()*(allotted[best].MaxUnavailable+1) > allotted[best].size()*(p.MaxUnavailable+1) {
 				best = i
 			}
 		}
