orchestrator: steps of a VM are collected once in a round of a wave

Cause: the order of a wave collected the steps with a disruption budget of each VM up to three times in each round, and the time of a VM's move stood twice as a constant.

Change: they are collected when the order is made; the forecast starts from vmMoveTime. Behaviour is the same.

--- a/pkg/orchestrator/forecast.go
+++ b/pkg/orchestrator/forecast.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// firstMoveTime is the time from the order to move a VM until its target takes tasks, as
-	// long as no move was observed.
-	firstMoveTime = 1700 * time.Millisecond
 	// maxMoveTime bounds the time that is learned, so that a VM that arrives late for other
 	// reasons does not spread the forecast over a whole burst.
 	maxMoveTime = 4 * time.Second
@@ -42,7 +39,7 @@
 func newLoadForecast() *loadForecast {
 	return &loadForecast{
 		forecaster: forecaster.New(forecaster.DefaultConfig()),
-		moveTime:   firstMoveTime,
+		moveTime:   vmMoveTime,
 		ordered:    map[string]time.Duration{},
 	}
 }
--- a/pkg/orchestrator/wave_order.go
+++ b/pkg/orchestrator/wave_order.go
@@ -15,6 +15,7 @@
 	engine *Engine
 	wave   *wave
 	now    time.Duration
+	steps  map[string]map[*stepState]bool // with a disruption budget, by the VM on which tasks run
 	// remaining counts the VMs that hold tasks of a step with a disruption budget, prepared those
 	// of them that are being emptied.
 	remaining map[*stepState]int
@@ -26,11 +27,13 @@
 		engine:    e,
 		wave:      w,
 		now:       now,
+		steps:     map[string]map[*stepState]bool{},
 		remaining: map[*stepState]int{},
 		prepared:  map[*stepState]int{},
 	}
 	for _, vm := range vms {
-		for s := range o.budgetedSteps(vm) {
+		o.steps[vm] = o.budgetedSteps(vm)
+		for s := range o.steps[vm] {
 			o.remaining[s]++
 		}
 	}
@@ -55,7 +58,7 @@
 // turns returns how many interruptions in a row the longest series takes that a VM belongs to.
 func (o *waveOrder) turns(vm string) int {
 	longest := 0
-	for s := range o.budgetedSteps(vm) {
+	for s := range o.steps[vm] {
 		budget := max(1, s.step.MaxUnavailable)
 		longest = max(longest, (o.remaining[s]+budget-1)/budget)
 	}
@@ -101,7 +104,7 @@
 // of the targets that run the step are newer than the wave: a task that was lost meanwhile uses up
 // the budget.
 func (o *waveOrder) prepare(vm string) bool {
-	steps := o.budgetedSteps(vm)
+	steps := o.steps[vm]
 	for s := range steps {
 		if o.prepared[s] >= max(1, s.step.MaxUnavailable)+evacuateAhead || !o.listedSince(s) {
 			return false
