drainer: an answer before the end of a body isn't reset with its connection

A refusal for want of room was lost in the same way. Change: the server counts what such a body has left, and has net/http linger if the answer comes first.

--- a/internal/drainer/budget_test.go
+++ b/internal/drainer/budget_test.go
@@ -157,6 +157,54 @@
 	}
 }
 
+// Guards against an answer that is lost with the connection: a caller that asks for the close is
+// reset if it is still sending when the answer comes.
+func TestAnswerBeforeTheEndOfTheBodyIsNotReset(t *testing.T) {
+	tests := []struct {
+		name   string
+		budget budgeter.Config
+		limit  int64
+		status int
+	}{
+		{
+			name: "refused for want of room",
+			budget: budgeter.Config{
+				Bytes:       1 << 20,
+				Connections: 10,
+			},
+			limit:  16 << 20,
+			status: http.StatusServiceUnavailable,
+		},
+		{
+			name:   "larger than the limit",
+			budget: budgeter.Limits{}.Callers(),
+			limit:  segment,
+			status: http.StatusRequestEntityTooLarge,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := startBudgeted(t, tt.budget, tt.limit)
+			conn, err := net.Dial("tcp", s.Address().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close() //nolint:errcheck // ends with the test
+			head := "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 900000\r\n\r\n"
+			if _, err := io.WriteString(conn, head+strings.Repeat("a", segment)); err != nil {
+				t.Fatal(err)
+			}
+			answer, err := io.ReadAll(conn)
+			if err != nil {
+				t.Errorf("after %q: %v", answer, err)
+			}
+			if want := fmt.Sprintf("HTTP/1.1 %d ", tt.status); !strings.HasPrefix(string(answer), want) {
+				t.Errorf("answer %q", answer)
+			}
+		})
+	}
+}
+
 // Guards against a caller that loses its connection while the process works on its request: the
 // caller has sent all of it, and net/http reads on to notice whether the caller leaves. All requests
 // come on one connection, so that no other one can expire.
--- a/internal/drainer/connection.go
+++ b/internal/drainer/connection.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -230,6 +231,30 @@
 	return n, err
 }
 
+// countedBody is the body of a request after which the caller wants the connection closed.
+type countedBody struct {
+	io.ReadCloser
+	left int64 // bytes that the handler has not read
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.left -= int64(n)
+	return n, err
+}
+
+// lingerIfLeft makes net/http wait between the answer and the close if the body was not read to its
+// end. Closing at once resets the connection, and the caller may lose the answer. net/http waits by
+// itself only if it was not the caller who asked for the close.
+func (b *countedBody) lingerIfLeft(w http.ResponseWriter) {
+	if b.left <= 0 {
+		return
+	}
+	beyond := http.MaxBytesReader(w, io.NopCloser(strings.NewReader("-")), 0)
+	_, _ = beyond.Read(make([]byte, 1)) // reports to w that the body exceeds a limit
+}
+
 // readBody notes that the handler reads the body, until the returned function is called.
 func (c *connection) readBody() func() {
 	c.readsBody.Store(true)
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -149,6 +149,16 @@
 		return
 	}
 	defer c.end()
+	if r.Close && r.ContentLength > 0 {
+		unread := &countedBody{
+			ReadCloser: r.Body,
+			left:       r.ContentLength,
+		}
+		closing := *r
+		closing.Body = unread
+		r = &closing
+		defer unread.lingerIfLeft(w)
+	}
 	if !c.begin(r) {
 		s.refuse(w)
 		return
