--- a/pkg/budgeter/budgeter_test.go
+++ b/pkg/budgeter/budgeter_test.go
@@ -207,7 +207,7 @@
 	}
 }
 
-// Guards against a caller that holds its request open for ever, and against one that is
+// Guards against a caller that never ends its request, and against one that is
 // disconnected while its bytes are held up for some seconds or come slowly.
 func TestRequestsWithoutProgressExpire(t *testing.T) {
 	b := newBudget(1000, 10)
