manager, orchestrator: only VMs with recent orders wait at a takeover

A new owner waited with all VMs, 3.1 s from its acquisition.

An owner now records in the store for which VMs it is about to give orders, in a write that only the owner can make, and sends them after the write. The next owner reads the record after its acquisition, leaves these VMs alone for the whole time, counts those that are moving for the pools they go to, and moves others once it knows what runs. Without a readable record it waits with all VMs, also after an outage of the store. Maintenance waits as before, because an order that is still under way counts against the limit of a wave.

--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -42,6 +42,9 @@
 // forecastKey returns the key of the forecast of the load of a cell.
 func forecastKey(cell string) string { return controlPrefix + "forecast/" + cell }
 
+// vmOrdersKey returns the key of the VMs of a cell for which its owner gave its last orders.
+func vmOrdersKey(cell string) string { return controlPrefix + "vm-orders/" + cell }
+
 // waveStatePrefix is the prefix of the states of the maintenance waves in all cells.
 const waveStatePrefix = controlPrefix + "wave/"
 
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -54,6 +54,8 @@
 	knownWaves     map[int]bool                    // waves that the engine has, by number
 	waveStates     map[int]*orchestrator.WaveState // read at the takeover, by number of the wave
 	versions       map[string]storer.Version       // store versions of keys that only owners write
+	vmOrders       *vmOrderLog
+	vmOrdersKnown  bool // at the takeover, VMs with recent orders of the earlier owner were known
 	workers        sync.WaitGroup
 	shares         teamShares
 	durations      []orchestrator.QueueDurations // learned ones, as they were reported last
@@ -82,6 +84,7 @@
 		knownWaves:    map[int]bool{},
 		versions:      map[string]storer.Version{},
 		unknownZones:  map[string]bool{},
+		vmOrders:      newVMOrderLog(cfg.Bounds.VMHandoverDelay + vmHandoverMargin),
 	}
 	o.intakeWatch = newPrefixWatcher(watcherConfig{
 		Store:  cfg.Store,
@@ -133,6 +136,7 @@
 	}
 	if o.cfg.VMs != nil {
 		o.spawn(func() { o.watchVMs(ctx) })
+		o.spawn(func() { o.recordVMOrders(ctx, o.vmOrdersKnown) })
 	}
 	<-ctx.Done()
 	o.workers.Wait()
@@ -193,6 +197,9 @@
 	if err := o.readWaves(ctx); err != nil {
 		return err
 	}
+	if err := o.readVMOrders(ctx); err != nil {
+		return err
+	}
 	forecast := o.readForecast(ctx)
 	b := o.cfg.Bounds
 	var observer orchestrator.Observer
@@ -213,6 +220,8 @@
 		PaceDelay:         b.PaceDelay,
 		Retention:         b.Retention + retentionMargin,
 		VMOrderDelay:      o.vmOrderDelay(),
+		VMOrdersKnown:     o.vmOrdersKnown,
+		RecentVMOrders:    o.vmOrders.recent(),
 		VMOrdersPerSecond: b.VMOrdersPerSecond / float64(len(o.layout.Cells())),
 		Roster:            roster,
 		RosterUnknown:     !rosterKnown,
@@ -242,13 +251,14 @@
 	maxRenewalAge = 500 * time.Millisecond
 )
 
-// vmOrderDelay returns how long a new owner waits before its first order for a VM, so that the
+// vmOrderDelay returns how long a new owner waits before its first order for any VM, so that the
 // orders of two owners do not mix. It is counted from the acquisition, because an owner that
 // stops in order may have given an order just before. If the store was unreachable within
 // Bounds.VMHandoverDelay, it is only the margin: the previous owner could not renew its lease
-// in the outage and is taken to have stopped long ago.
+// in the outage and is taken to have stopped long ago. The VMs of its last orders, if they are
+// known, wait for the whole delay also then.
 func (o *owner) vmOrderDelay() time.Duration {
-	if o.operatorWatch.failedWithin(o.cfg.Bounds.VMHandoverDelay) {
+	if o.vmOrdersKnown && o.operatorWatch.failedWithin(o.cfg.Bounds.VMHandoverDelay) {
 		return vmHandoverMargin
 	}
 	return o.cfg.Bounds.VMHandoverDelay + vmHandoverMargin
--- a/internal/manager/target_loop.go
+++ b/internal/manager/target_loop.go
@@ -172,7 +172,7 @@
 // dispatch carries out an order in the background.
 func (o *owner) dispatch(ctx context.Context, order orchestrator.Order) {
 	if order.Kind == orchestrator.KindMove || order.Kind == orchestrator.KindMaintenance {
-		o.spawn(func() { o.orderVM(ctx, order) })
+		o.vmOrders.enqueue(order)
 		return
 	}
 	o.mu.Lock()
@@ -247,6 +247,7 @@
 		answer.Outcome, answer.Err = o.cfg.VMs.Order(call, order)
 	}
 	answer.ReceivedAt = o.cfg.Clock()
+	o.vmOrders.ended(order.VM, answer.ReceivedAt)
 	o.answer(answer)
 }
 
--- a/pkg/orchestrator/fixtures_test.go
+++ b/pkg/orchestrator/fixtures_test.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
 	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 )
@@ -108,3 +110,25 @@
 		},
 	}
 }
+
+// ownerConfig returns the configuration of the engine of an owner that takes over now.
+func (w *world) ownerConfig() orchestrator.Config {
+	return orchestrator.Config{
+		Logger:           hclog.NewNullLogger(),
+		Fence:            w.fence,
+		AcquiredAt:       w.now,
+		LeaseDuration:    worldLease,
+		MaxLeaseDuration: worldMaxLease,
+		StopTime:         200 * time.Millisecond,
+		RemoteFactor:     1.5,
+		Retention:        time.Minute,
+		Roster:           w.roster,
+		FirstOwner:       len(w.roster) == 0,
+		Observer:         w.observer,
+		VMOrderDelay:     w.vmOrderDelay,
+		VMOrdersKnown:    w.vmOrdersKnown,
+		RecentVMOrders:   w.recentVMOrders,
+
+		IgnoreInterference: w.ignoreInterference,
+	}
+}
--- a/pkg/orchestrator/move.go
+++ b/pkg/orchestrator/move.go
@@ -45,7 +45,7 @@
 	e.predictLoad(now)
 	e.trackIdle(now)
 	e.logPools(now)
-	if now < e.cfg.AcquiredAt+e.cfg.VMOrderDelay {
+	if !e.mayMoveVMs(now) {
 		e.cordon(now)
 		return
 	}
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -115,8 +115,13 @@
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
 	// VMOrderDelay is the time between the acquisition of ownership and the first order for
-	// a VM, so that the orders of two owners do not overlap.
+	// a VM, so that the orders of two owners do not overlap. Moves need not wait for it if
+	// VMOrdersKnown is true.
 	VMOrderDelay time.Duration
+	// VMOrdersKnown is true if no earlier owner may have given orders lately for other VMs than
+	// those of RecentVMOrders.
+	VMOrdersKnown  bool
+	RecentVMOrders []RecentVMOrder
 	// VMOrdersPerSecond is the rate at which the platform accepts orders for VMs; zero if
 	// unknown.
 	VMOrdersPerSecond float64
@@ -221,6 +226,7 @@
 		takingOver:   !cfg.FirstOwner,
 	}
 	e.roster = newRoster(cfg.Roster)
+	e.inheritVMOrders()
 	if e.cfg.Observer == nil {
 		e.cfg.Observer = nopObserver{}
 	}
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -74,8 +74,8 @@
 
 // attainable returns the capacity, in millicores, that a pool could gain by moves, and the mean
 // time until it arrives: of VMs with a pending order that will be in it, VMs of spare pools, and
-// idle VMs of other pools. A new owner orders none before Config.VMOrderDelay has passed, and then
-// at the rate that the platform accepts. After that, VMs count as if they were there: most work that
+// idle VMs of other pools. A new owner that does not know the orders of the earlier one orders none
+// before Config.VMOrderDelay has passed, and then at the rate that the platform accepts. After that, VMs count as if they were there: most work that
 // can reach them is on time, and at the start of a burst a plan that waits for them leaves work out
 // that they serve.
 func (e *Engine) attainable(p *pool, now time.Duration) (millicores int64, in time.Duration) {
@@ -96,7 +96,7 @@
 		}
 	}
 	untilOrder := e.cfg.AcquiredAt + e.cfg.VMOrderDelay - now
-	if ordered+others == 0 || untilOrder <= 0 {
+	if ordered+others == 0 || untilOrder <= 0 || e.cfg.VMOrdersKnown {
 		return ordered + others, 0
 	}
 	rounds := time.Duration(count / max(1, e.movesPerRound()))
--- a/pkg/orchestrator/world_test.go
+++ b/pkg/orchestrator/world_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
 	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 	"github.com/comfreyford/comfreyford/pkg/storer"
@@ -50,6 +48,10 @@
 	vmListDown         bool                  // the list of VMs can't be read
 	clockOffset        time.Duration         // of the clock of the owner's daemon
 	vmOrdersLost       bool                  // orders for VMs are neither carried out nor answered
+	// vmOrderDelay, vmOrdersKnown and recentVMOrders are passed to the engine of the next owner.
+	vmOrderDelay   time.Duration
+	vmOrdersKnown  bool
+	recentVMOrders []orchestrator.RecentVMOrder
 	// vmListInterval is the time between two lists of VMs; a move takes moveTime.
 	vmListInterval time.Duration
 	moveTime       time.Duration
@@ -99,21 +101,7 @@
 // takeOver replaces the engine by one of a new owner, which knows only what is stored.
 func (w *world) takeOver() {
 	w.fence += 100
-	w.engine = orchestrator.New(orchestrator.Config{
-		Logger:           hclog.NewNullLogger(),
-		Fence:            w.fence,
-		AcquiredAt:       w.now,
-		LeaseDuration:    worldLease,
-		MaxLeaseDuration: worldMaxLease,
-		StopTime:         200 * time.Millisecond,
-		RemoteFactor:     1.5,
-		Retention:        time.Minute,
-		Roster:           w.roster,
-		FirstOwner:       len(w.roster) == 0,
-		Observer:         w.observer,
-
-		IgnoreInterference: w.ignoreInterference,
-	})
+	w.engine = orchestrator.New(w.ownerConfig())
 	w.engine.Configure(w.conf)
 	w.engine.SetEvacuatedZones(w.evacuated, w.now)
 	for _, id := range sortedKeys(w.jobs) {
