manager: the record of orders for VMs tells their ages

The owner now writes the record each 0.5 s while it names VMs, with the time since each order ended, and the next one waits for the rest of the time only.

--- a/internal/manager/vm_orders.go
+++ b/internal/manager/vm_orders.go
@@ -15,16 +15,18 @@
 )
 
 const (
-	// vmOrdersPruneInterval separates two writes that only remove VMs from the record.
-	vmOrdersPruneInterval = 500 * time.Millisecond
+	// vmOrdersRefresh separates two writes of the record without new orders, which bring the ages
+	// of the orders up to date and remove old ones.
+	vmOrdersRefresh = 500 * time.Millisecond
 	// vmOrdersAttempts is how often the record is written before its new orders are given up.
 	vmOrdersAttempts = 2
 )
 
 // recordedVMOrder is an entry of the record of recent orders for VMs.
 type recordedVMOrder struct {
-	VM   string `cbor:"vm"`
-	Pool string `cbor:"pool,omitempty"` // destination of a move
+	VM    string `cbor:"vm"`
+	Pool  string `cbor:"pool,omitempty"`   // destination of a move
+	AgeMS int64  `cbor:"age_ms,omitempty"` // time since the order ended, at the write
 }
 
 // recentVMOrder is an order for a VM that was given lately or is being given.
@@ -53,14 +55,14 @@
 	}
 }
 
-// inherit adds orders of the earlier owner.
-func (l *vmOrderLog) inherit(orders []recordedVMOrder, until time.Duration) {
+// inherit adds orders of the earlier owner, which lost the ownership before now.
+func (l *vmOrderLog) inherit(orders []recordedVMOrder, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, o := range orders {
 		l.entries[o.VM] = recentVMOrder{
 			pool:  o.Pool,
-			until: until,
+			until: now + l.delay - time.Duration(o.AgeMS)*time.Millisecond,
 		}
 	}
 }
@@ -105,10 +107,15 @@
 		l.entries[o.VM] = entry
 	}
 	for _, vm := range slices.Sorted(maps.Keys(l.entries)) {
-		record = append(record, recordedVMOrder{
+		entry := l.entries[vm]
+		recorded := recordedVMOrder{
 			VM:   vm,
-			Pool: l.entries[vm].pool,
-		})
+			Pool: entry.pool,
+		}
+		if entry.open == 0 {
+			recorded.AgeMS = (l.delay - (entry.until - now)).Milliseconds()
+		}
+		record = append(record, recorded)
 	}
 	return orders, record
 }
@@ -141,7 +148,7 @@
 			o.logger.Error("recent orders for VMs not readable, ordering none for the whole delay", "key", item.Key, "error", err)
 			return nil
 		}
-		o.vmOrders.inherit(record, o.term.AcquiredAt+o.vmOrders.delay)
+		o.vmOrders.inherit(record, o.term.AcquiredAt)
 		o.vmOrdersKnown = true
 	}
 	return nil
@@ -153,14 +160,14 @@
 // if the orders of the earlier owner are unknown; the record is then not written, and nothing is
 // sent, until they are of no importance.
 func (o *owner) recordVMOrders(ctx context.Context, known bool) {
-	prune := time.NewTicker(vmOrdersPruneInterval)
-	defer prune.Stop()
+	refresh := time.NewTicker(vmOrdersRefresh)
+	defer refresh.Stop()
 	var stored []byte // nil if unknown
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-prune.C:
+		case <-refresh.C:
 		case <-o.vmOrders.queued:
 		}
 		orders, record := o.vmOrders.next(o.cfg.Clock())
