reviewer: configurations are checked against the VMs, waves and evacuations

A configuration could be sent with duplicate teams and pools, keys that two teams share, limits beyond the fleet, and beside waves of unknown VMs. Checks that need the list of VMs are named as not checked where it is not at hand.

--- a/internal/commander/review.go
+++ b/internal/commander/review.go
@@ -5,16 +5,18 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/comfreyford/comfreyford/internal/manager"
 	"github.com/comfreyford/comfreyford/internal/reviewer"
+	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 	"github.com/comfreyford/comfreyford/platform"
 )
 
-const reviewUsage = "check an operators' configuration before it is sent, and compare it with the one in force"
+const reviewUsage = "check an operators' configuration before it is sent, against the VMs and the one in force"
 
 // reviewTimeout bounds the read of the store.
 const reviewTimeout = 10 * time.Second
@@ -29,7 +31,8 @@
 		Usage:     reviewUsage,
 		ArgsUsage: "FILE",
 		Description: "FILE holds a configuration of the users' platform, as operators write it to the store. " +
-			"The exit status is 0 if nothing was found, 2 if there are warnings and 1 if there are errors.",
+			"The exit status is 0 if nothing was found, 2 if there are warnings and 1 if there are errors. " +
+			"Checks whose input is not at hand are listed as not checked, whatever the exit status is.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{
 				Name:  "in-force",
@@ -37,7 +40,15 @@
 			},
 			&cli.StringFlag{
 				Name:  "settings",
-				Usage: "compare with the configuration in the store that this settings `FILE` of the platform names",
+				Usage: "compare with the configuration in the store that this settings `FILE` of the platform names, and check the waves and evacuations there",
+			},
+			&cli.StringFlag{
+				Name:  "vms",
+				Usage: "check against the VMs in this `FILE`, an answer of the platform's VM service, in place of those that the service lists which --settings names",
+			},
+			&cli.StringSliceFlag{
+				Name:  "wave",
+				Usage: "check the maintenance wave in this `FILE`, too; may be repeated",
 			},
 			&cli.BoolFlag{
 				Name:  "json",
@@ -57,14 +68,16 @@
 	if err != nil {
 		return fmt.Errorf("review: %w", err)
 	}
-	inForce, err := configurationInForce(ctx, cmd)
-	if err != nil {
+	in := reviewer.Input{
+		Candidate: candidate,
+	}
+	if err := addInstallation(ctx, cmd, &in); err != nil {
 		return fmt.Errorf("review: %w", err)
 	}
-	report := reviewer.Review(reviewer.Input{
-		Candidate: candidate,
-		InForce:   inForce,
-	})
+	if err := addFiles(cmd, &in); err != nil {
+		return fmt.Errorf("review: %w", err)
+	}
+	report := reviewer.Review(in)
 	if err := printAs(cmd, report, printReview); err != nil {
 		return err
 	}
@@ -78,32 +91,72 @@
 	return nil
 }
 
-// configurationInForce returns the configuration to compare with, or nil if no flag names one.
-func configurationInForce(ctx context.Context, cmd *cli.Command) (*manager.Configuration, error) {
-	file, settings := cmd.String("in-force"), cmd.String("settings")
-	switch {
-	case file != "" && settings != "":
-		return nil, fmt.Errorf("want --in-force or --settings, got both")
-	case file != "":
-		return readConfiguration(file)
-	case settings != "":
-		ctx, cancel := context.WithTimeout(ctx, reviewTimeout)
-		defer cancel()
-		return platform.ReadConfiguration(ctx, settings)
-	}
-	return nil, nil // nothing to compare with
+// addInstallation adds what the store and the VM service that --settings names have.
+func addInstallation(ctx context.Context, cmd *cli.Command, in *reviewer.Input) error {
+	settings := cmd.String("settings")
+	if settings == "" {
+		return nil
+	}
+	if cmd.String("in-force") != "" {
+		return fmt.Errorf("want --in-force or --settings, got both")
+	}
+	ctx, cancel := context.WithTimeout(ctx, reviewTimeout)
+	defer cancel()
+	installation, err := platform.ReadInstallation(ctx, settings)
+	if err != nil {
+		return err
+	}
+	in.InForce, in.Waves, in.Evacuated = installation.Configuration, installation.Waves, installation.Evacuated
+	if cmd.String("vms") == "" {
+		in.VMs, err = platform.ReadVMs(ctx, settings)
+	}
+	return err
+}
+
+// addFiles adds what the files have that flags name.
+func addFiles(cmd *cli.Command, in *reviewer.Input) (err error) {
+	if path := cmd.String("in-force"); path != "" {
+		if in.InForce, err = readConfiguration(path); err != nil {
+			return err
+		}
+	}
+	if path := cmd.String("vms"); path != "" {
+		if in.VMs, err = readFile(path, platform.ParseVMs); err != nil {
+			return err
+		}
+	}
+	var waves []orchestrator.Wave
+	for _, path := range cmd.StringSlice("wave") {
+		wave, err := readFile(path, platform.ParseWave)
+		if err != nil {
+			return err
+		}
+		waves = append(waves, wave)
+	}
+	// They take the place of those in the store.
+	in.Waves = slices.DeleteFunc(in.Waves, func(stored orchestrator.Wave) bool {
+		return slices.ContainsFunc(waves, func(w orchestrator.Wave) bool { return w.Number == stored.Number })
+	})
+	in.Waves = append(in.Waves, waves...)
+	return nil
 }
 
 func readConfiguration(path string) (*manager.Configuration, error) {
+	return readFile(path, platform.StoreSchema{}.Configuration)
+}
+
+// readFile decodes a file. The errors name it.
+func readFile[T any](path string, decode func([]byte) (T, error)) (T, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, err
+		var none T
+		return none, err
 	}
-	c, err := platform.StoreSchema{}.Configuration(data)
+	value, err := decode(data)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return value, fmt.Errorf("%s: %w", path, err)
 	}
-	return c, nil
+	return value, nil
 }
 
 func printReview(out io.Writer, r reviewer.Report) error {
@@ -112,6 +165,11 @@
 			return err
 		}
 	}
+	for _, s := range r.NotChecked {
+		if _, err := fmt.Fprintf(out, "not checked: %s: %s\n", s.Path, s.Message); err != nil {
+			return err
+		}
+	}
 	for _, c := range r.Changes {
 		if _, err := fmt.Fprintf(out, "change: %s: %s\n", c.Path, c.Message); err != nil {
 			return err
--- a/internal/manager/configuration.go
+++ b/internal/manager/configuration.go
@@ -31,6 +31,26 @@
 	IdleTimeout   time.Duration
 	// Ignored describes the entries that were skipped because they are incomplete.
 	Ignored []string
+	// Replaced holds the entries of which only the last one is in force, in their order.
+	Replaced []ReplacedEntry
+}
+
+// EntryKind is the kind of an entry of a configuration.
+type EntryKind string
+
+// The kinds of entries that a later one replaces.
+const (
+	EntryTeam EntryKind = "team"
+	EntryPool EntryKind = "pool"
+	EntryKey  EntryKind = "key"
+)
+
+// ReplacedEntry is an entry of a configuration that a later one replaces.
+type ReplacedEntry struct {
+	Kind    EntryKind
+	Name    string // of the team or pool; for a key, the team that loses it
+	Team    string // for a key, the team that has it
+	KeyHash [sha256.Size]byte
 }
 
 // Route returns the route of the host with the longest prefix that the path begins with.
--- a/internal/reviewer/reviewer.go
+++ b/internal/reviewer/reviewer.go
@@ -1,12 +1,13 @@
 // Package reviewer checks an operators' configuration before it is sent: errors, entries that can
-// never match, settings that contradict each other, and which callers gain or lose what against the
-// configuration in force.
+// never match, settings that contradict each other or the VMs, and which callers gain or lose what
+// against the configuration in force.
 //
 // It reads what the daemons read: configurations as they decode them.
 package reviewer
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"fmt"
 	"maps"
 	"slices"
@@ -14,6 +15,7 @@
 
 	"github.com/comfreyford/comfreyford/internal/manager"
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 )
 
 // Severity is how serious a finding is.
@@ -43,13 +45,24 @@
 	Version  int64     `json:"version"`
 	InForce  int64     `json:"in_force,omitempty"` // version it is compared with; zero if there is none
 	Findings []Finding `json:"findings"`
-	Changes  []Change  `json:"changes"`
+	// NotChecked are the checks that were not made, as their input is not at hand.
+	NotChecked []Skipped `json:"not_checked"`
+	Changes    []Change  `json:"changes"`
+}
+
+// Skipped is a check that was not made.
+type Skipped struct {
+	Path    string `json:"path"`
+	Message string `json:"message"` // what is wanted, and for what
 }
 
 // Input is what a review looks at.
 type Input struct {
 	Candidate *manager.Configuration
 	InForce   *manager.Configuration // nil if there is none to compare with
+	VMs       []orchestrator.VM      // empty if they are not known
+	Waves     []orchestrator.Wave    // that are not complete
+	Evacuated []string               // availability zones
 }
 
 // Count returns the number of findings of a severity.
@@ -66,17 +79,24 @@
 // Review checks a configuration.
 func Review(in Input) Report {
 	r := Report{
-		Version:  in.Candidate.Version,
-		Findings: []Finding{},
-		Changes:  []Change{},
+		Version:    in.Candidate.Version,
+		Findings:   []Finding{},
+		NotChecked: []Skipped{},
+		Changes:    []Change{},
 	}
+	if in.Candidate.Version <= 0 {
+		r.fail("version", "want a number above 0, got %d", in.Candidate.Version)
+	}
+	r.checkReplaced(in.Candidate)
 	r.checkRoutes(in.Candidate)
 	r.checkQueues(in.Candidate)
 	r.checkTeams(in.Candidate)
 	r.checkPools(in.Candidate)
+	r.checkWaves(in.Waves)
+	r.checkFleet(in)
 	if in.InForce != nil {
 		r.InForce = in.InForce.Version
-		if in.Candidate.Version <= in.InForce.Version {
+		if in.Candidate.Version > 0 && in.Candidate.Version <= in.InForce.Version {
 			r.fail("version", "want more than %d, which is in force; got %d", in.InForce.Version, in.Candidate.Version)
 		}
 		r.compareRoutes(in.InForce, in.Candidate)
@@ -112,9 +132,36 @@
 	})
 }
 
+func (r *Report) skip(path, format string, args ...any) {
+	r.NotChecked = append(r.NotChecked, Skipped{
+		Path:    path,
+		Message: fmt.Sprintf(format, args...),
+	})
+}
+
+// checkReplaced checks the entries of which the daemons use only the last one.
+func (r *Report) checkReplaced(c *manager.Configuration) {
+	for _, e := range c.Replaced {
+		switch e.Kind {
+		case manager.EntryTeam:
+			r.fail("teams/"+e.Name, "want one entry for each team; the limit and weight of the last one hold, with the keys of all")
+		case manager.EntryPool:
+			r.fail("pools/"+e.Name, "want one entry for each pool; the last one holds")
+		case manager.EntryKey:
+			r.fail("teams/"+e.Name+"/keys", "want keys of one team each; callers with the key of SHA-256 %s act for team %q", shortKey(e.KeyHash), e.Team)
+		}
+	}
+	if team, ok := c.Team(""); ok {
+		r.fail("teams/"+team+"/keys", "want no empty key; callers without a key act for the team")
+	}
+}
+
 func routePath(route manager.Route) string { return "routes/" + route.Host + route.Prefix }
 
 func (r *Report) checkRoutes(c *manager.Configuration) {
+	if len(c.Routes) == 0 {
+		r.fail("routes", "want a route, got none; all callers get 404")
+	}
 	for _, ignored := range c.Ignored {
 		r.fail("routes", "the daemons skip an incomplete entry: %s", ignored)
 	}
@@ -171,6 +218,9 @@
 	for _, name := range slices.Sorted(maps.Keys(c.Engine.Teams)) {
 		t := c.Engine.Teams[name]
 		path := "teams/" + name
+		if name == "" {
+			r.fail(path, "want a name")
+		}
 		if t.Weight < 0 {
 			r.fail(path+"/weight", "want at least 0, got %g", t.Weight)
 		}
@@ -183,11 +233,17 @@
 	}
 }
 
-func (r *Report) checkPools(c *manager.Configuration) {
+// usedPools returns the pools that have a queue.
+func usedPools(c *manager.Configuration) map[string]bool {
 	used := map[string]bool{}
 	for _, q := range c.Engine.Queues {
 		used[q.Pool] = true
 	}
+	return used
+}
+
+func (r *Report) checkPools(c *manager.Configuration) {
+	used := usedPools(c)
 	for _, name := range slices.Sorted(maps.Keys(c.Engine.Pools)) {
 		if !used[name] && !c.Engine.Pools[name].Spare {
 			r.warn("pools/"+name, "want a queue that uses it; its VMs do nothing")
@@ -317,11 +373,14 @@
 // shortHash is the number of hexadecimal digits that stand for a key in a report.
 const shortHash = 8
 
+// shortKey returns the beginning of the hash of a key.
+func shortKey(hash [sha256.Size]byte) string { return fmt.Sprintf("%x", hash)[:shortHash] }
+
 // keysByTeam returns the beginnings of the hashes of each team's keys, sorted.
 func keysByTeam(c *manager.Configuration) map[string][]string {
 	keys := map[string][]string{}
 	for hash, team := range c.Keys {
-		keys[team] = append(keys[team], fmt.Sprintf("%x", hash)[:shortHash])
+		keys[team] = append(keys[team], shortKey(hash))
 	}
 	for team := range keys {
 		slices.Sort(keys[team])
--- a/internal/reviewer/reviewer_test.go
+++ b/internal/reviewer/reviewer_test.go
@@ -85,6 +85,17 @@
 				Queue:  "quotes",
 			})
 		}, "warning queues/quotes"},
+		{"no routes", func(c *manager.Configuration) {
+			c.Routes = nil
+			clear(c.Engine.Queues)
+			delete(c.Engine.Pools, "desk")
+		}, "error routes"},
+		{"no version", func(c *manager.Configuration) { c.Version = 0 }, "error version"},
+		{"empty key", func(c *manager.Configuration) { c.Keys[sha256.Sum256(nil)] = "schools" }, "error teams/schools/keys"},
+		{"team without a name", func(c *manager.Configuration) {
+			c.Engine.Teams[""] = orchestrator.Team{}
+			c.Keys[sha256.Sum256([]byte("k2"))] = ""
+		}, "error teams/"},
 		{"open queues need no keys", func(c *manager.Configuration) {
 			c.Routes[0].Open = true
 			clear(c.Keys)
@@ -105,6 +116,113 @@
 	}
 }
 
+// Guards against requests that the VMs can't fulfil, and against checks that are left out silently.
+func TestFindingsOfFleet(t *testing.T) {
+	vms := []orchestrator.VM{{
+		ID:   "m-1",
+		Pool: "desk",
+		Zone: "north",
+		Capacity: jobkeeper.Resources{
+			CPUMillis: 4000,
+			MemoryMB:  8192,
+		},
+	}, {
+		ID:   "m-2",
+		Pool: "spare",
+		Zone: "south",
+		Capacity: jobkeeper.Resources{
+			CPUMillis: 4000,
+			MemoryMB:  8192,
+		},
+	}}
+	limit := func(r jobkeeper.Resources) func(*reviewer.Input) {
+		return func(in *reviewer.Input) {
+			in.Candidate.Engine.Teams["schools"] = orchestrator.Team{
+				Limit: r,
+			}
+		}
+	}
+	wave := func(w orchestrator.Wave) func(*reviewer.Input) {
+		return func(in *reviewer.Input) { in.Waves = append(in.Waves, w) }
+	}
+	tests := []struct {
+		name   string
+		change func(*reviewer.Input)
+		want   string // severities and paths of the findings, and the paths that were not checked
+	}{
+		{"none", func(*reviewer.Input) {}, ""},
+		{"VMs unknown", func(in *reviewer.Input) { in.VMs = nil }, "not checked pools; not checked teams"},
+		{"VMs unknown to a wave", func(in *reviewer.Input) {
+			in.VMs, in.Evacuated = nil, []string{"north"}
+			in.Waves = make([]orchestrator.Wave, 1)
+		}, "error waves/0/vms; not checked pools; not checked teams; not checked waves; not checked evacuations"},
+		{"pool of VMs removed", func(in *reviewer.Input) { delete(in.Candidate.Engine.Pools, "spare") }, "warning pools/spare"},
+		{"pool without VMs", func(in *reviewer.Input) { in.VMs = in.VMs[1:] }, "warning pools/desk"},
+		{"limit of all VMs", limit(jobkeeper.Resources{
+			CPUMillis: 8000,
+			MemoryMB:  16384,
+		}), ""},
+		{"limit beyond all VMs", limit(jobkeeper.Resources{
+			CPUMillis: 8001,
+			GPUs:      1,
+		}), "warning teams/schools/limit/cores; warning teams/schools/limit/gpus"},
+		{"capacity unknown", func(in *reviewer.Input) {
+			in.VMs = append([]orchestrator.VM{{
+				ID:   "m-0",
+				Pool: "desk",
+				Zone: "north",
+			}}, in.VMs...)
+		}, "not checked teams"},
+		{"wave", wave(orchestrator.Wave{
+			VMs:            []string{"m-1", "m-2"},
+			MaxUnavailable: 1,
+		}), ""},
+		{"wave of unknown VMs", wave(orchestrator.Wave{
+			Number: 3,
+			VMs:    []string{"m-8", "m-9"},
+		}), "error waves/3/vms"},
+		{"wave of some unknown VMs, all at once", wave(orchestrator.Wave{
+			Number:         3,
+			VMs:            []string{"m-1", "m-9"},
+			MaxUnavailable: 2,
+		}), "warning waves/3/max_unavailable; warning waves/3/vms"},
+		{"VM twice in a wave", wave(orchestrator.Wave{
+			VMs: []string{"m-1", "m-1"},
+		}), "warning waves/0/vms"},
+		{"waves with one number", func(in *reviewer.Input) {
+			in.Waves = []orchestrator.Wave{{
+				Number: 1,
+				VMs:    []string{"m-1"},
+			}, {
+				Number: 1,
+				VMs:    []string{"m-2"},
+			}}
+		}, "error waves/1"},
+		{"unknown zone evacuated", func(in *reviewer.Input) { in.Evacuated = []string{"east"} }, "error evacuations/east"},
+		{"all zones evacuated", func(in *reviewer.Input) { in.Evacuated = []string{"north", "south"} }, "error evacuations"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			in := reviewer.Input{
+				Candidate: configuration(),
+				VMs:       vms,
+			}
+			test.change(&in)
+			report := reviewer.Review(in)
+			var got []string
+			for _, f := range report.Findings {
+				got = append(got, string(f.Severity)+" "+f.Path)
+			}
+			for _, s := range report.NotChecked {
+				got = append(got, "not checked "+s.Path)
+			}
+			if joined := strings.Join(got, "; "); joined != test.want {
+				t.Errorf("findings %q, want %q", joined, test.want)
+			}
+		})
+	}
+}
+
 // Guards against changes for callers that the comparison does not tell.
 func TestChanges(t *testing.T) {
 	next := func(c *manager.Configuration) { c.Version = 8 }
