manager, explainer: paced scans after a lost history; neighbors in the cause

A store that loses its history at once made the watcher of a prefix scan without pause. A scan is now at least 150 ms after the last one; after a longer watch it still follows at once.

explain names the neighbor that took a call about the job over, and from which daemon, or the number of attempts if none did.

--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -22,11 +23,24 @@
 	runsSlowed   int     // by tasks beside them
 	slowedBy     string  // kind of the neighbour that slowed down a run the most
 	slowedFactor float64 // the greatest factor on a run
+	handedOn     []handover
+	handedInVain int // attempts that no neighbor served
 }
 
-// cause returns the likely cause of a job's outcome, as a sentence.
+// handover is a call about the job that a neighbor took over.
+type handover struct {
+	call, from, to string
+}
+
+// cause returns the likely cause of a job's outcome, as a sentence, and names the neighbors that
+// took calls over.
 func cause(events []Event) string {
 	var f findings
+	return f.outcome(events) + f.neighbors()
+}
+
+// outcome reads the timeline and returns the cause of the outcome, as a sentence.
+func (f *findings) outcome(events []Event) string {
 	var ended, rejected *Event
 	for i := range events {
 		e := &events[i]
@@ -81,6 +95,20 @@
 		if factor := number(e, "factor"); factor > f.slowedFactor {
 			f.slowedBy, f.slowedFactor = text(e.Fields["neighbour"]), factor
 		}
+	case "call handed to a neighbor":
+		switch text(e.Fields["outcome"]) {
+		case "unavailable", "outcome_unknown", "not_sent":
+			f.handedInVain++
+			return
+		}
+		h := handover{
+			call: text(e.Fields["call"]),
+			from: e.Source,
+			to:   text(e.Fields["neighbor"]),
+		}
+		if !slices.Contains(f.handedOn, h) {
+			f.handedOn = append(f.handedOn, h)
+		}
 	case "task waiting for another start":
 		switch text(e.Fields["how"]) {
 		case "failed":
@@ -130,6 +158,18 @@
 	return strings.Join(reasons, "; ")
 }
 
+// neighbors names the daemons that took calls over, as sentences.
+func (f *findings) neighbors() string {
+	var b strings.Builder
+	for _, h := range f.handedOn {
+		fmt.Fprintf(&b, " Neighbor %s took a call over (%s) from %s, which the store turned away.", h.to, h.call, h.from)
+	}
+	if len(f.handedOn) == 0 && f.handedInVain > 0 {
+		fmt.Fprintf(&b, " No neighbor served it when the store turned a daemon away (attempts: %d).", f.handedInVain)
+	}
+	return b.String()
+}
+
 // minReportedWaitMS is the shortest wait for a start that is reported as a reason. A start
 // takes a few milliseconds when targets have room.
 const minReportedWaitMS = 100
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -89,6 +89,21 @@
 				line(900, "run slowed down by neighbours", `"task":"a1.0.0.1","factor":2.1,"neighbour":"image batch"`) + ended(1500),
 			want: "2 runs were slowed down by tasks beside them (2.1 times, image batch)",
 		},
+		{
+			name: "taken over by a neighbor",
+			log: "edge-1 " + line(0, "call handed to a neighbor", `"job":"a1","call":"submit","neighbor":"edge-3","outcome":"unavailable"`) +
+				"edge-1 " + line(1, "call handed to a neighbor", `"job":"a1","call":"submit","neighbor":"edge-2","outcome":"ok"`) + "edge-2 " + accepted +
+				"edge-1 " + line(50, "call handed to a neighbor", `"job":"a1","call":"state","neighbor":"edge-2","outcome":"ok"`) +
+				"edge-1 " + line(90, "call handed to a neighbor", `"job":"a1","call":"state","neighbor":"edge-2","outcome":"ok"`) + ended(900),
+			want: "after 900 of 1000 ms. Neighbor edge-2 took a call over (submit) from edge-1, which the store turned away." +
+				" Neighbor edge-2 took a call over (state) from edge-1, which the store turned away.",
+		},
+		{
+			name: "taken over by no neighbor",
+			log: "edge-1 " + line(0, "call handed to a neighbor", `"job":"a1","call":"submit","neighbor":"edge-3","outcome":"unavailable"`) +
+				"edge-1 " + line(1, "call handed to a neighbor", `"job":"a1","call":"submit","neighbor":"edge-2","outcome":"not_sent"`),
+			want: "No neighbor served it when the store turned a daemon away (attempts: 2).",
+		},
 		{
 			name: "cancelled",
 			log:  accepted + line(10, "job cancelled", `"job":"a1"`),
--- a/internal/manager/prefix_watcher.go
+++ b/internal/manager/prefix_watcher.go
@@ -15,7 +15,8 @@
 const (
 	// watchWait bounds one call that waits for changes, so that dead connections are noticed.
 	watchWait = 500 * time.Millisecond
-	// watchRetryDelay separates attempts after a failed call.
+	// watchRetryDelay separates attempts after a failed call, and a scan from the next one if the
+	// store loses its history at once.
 	watchRetryDelay = 150 * time.Millisecond
 )
 
@@ -67,6 +68,7 @@
 func (w *prefixWatcher) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		revision, err := w.scan(ctx)
+		scannedAt := w.cfg.Clock()
 		if err == nil {
 			err = w.follow(ctx, revision)
 		}
@@ -75,6 +77,7 @@
 		}
 		if errors.Is(err, storer.ErrHistoryLost) {
 			w.cfg.Logger.Info("store no longer has the history of changes, scanning again", "prefix", w.cfg.Prefix)
+			sleeper.Sleep(ctx, watchRetryDelay-(w.cfg.Clock()-scannedAt))
 			continue
 		}
 		sleeper.Sleep(ctx, watchRetryDelay)
