sequencer: a full pool is divided among teams by weight

Cause: work beyond a team's share was marked by a token bucket of jobs a second, at arrival and for good. While a pool was full, whoever sent most got most.

Change: sequencer.PlanByShare divides what a plan holds among teams by weight, with an account of what they were served while several asked for more than the pool can do. Jobs beyond the share are planned last, those of teams that ask for less than their share first. Waits for admission are reported by team. The bucket stays for the forecast only, as over_rate.

--- a/internal/manager/metrics.go
+++ b/internal/manager/metrics.go
@@ -36,6 +36,7 @@
 		r.RegisterGauge(recorder.PoolTargets, func() []recorder.Sample { return m.poolSamples(usableTargets) }),
 		r.RegisterGauge(recorder.PoolCores, func() []recorder.Sample { return m.poolSamples(poolCores) }),
 		r.RegisterGauge(recorder.PoolForecastError, func() []recorder.Sample { return m.poolSamples(forecastError) }),
+		r.RegisterGauge(recorder.PoolHeldTeams, func() []recorder.Sample { return m.poolSamples(heldTeams) }),
 		r.RegisterGauge(recorder.EvacuatedRuns, m.evacuatedSamples),
 	)
 }
@@ -122,6 +123,12 @@
 	}}
 }
 
+func heldTeams(p *orchestrator.PoolState) []recorder.Sample {
+	return []recorder.Sample{{
+		Value: float64(p.HeldTeams),
+	}}
+}
+
 // poolCores returns the cores of a pool by part.
 func poolCores(p *orchestrator.PoolState) []recorder.Sample {
 	var samples []recorder.Sample
--- a/internal/recorder/jobs.go
+++ b/internal/recorder/jobs.go
@@ -23,6 +23,7 @@
 	PoolTargets        = "comfreyford_pool_targets"
 	PoolCores          = "comfreyford_pool_cores"
 	PoolForecastError  = "comfreyford_pool_forecast_error"
+	PoolHeldTeams      = "comfreyford_pool_held_teams"
 	VMsAhead           = "comfreyford_vms_ahead"
 	ForwardedCalls     = "comfreyford_forwarded_calls"
 	EvacuatedRuns      = "comfreyford_evacuated_zone_runs"
@@ -160,6 +161,13 @@
 			Labels: "pool",
 			Help:   "relative error of the latest forecasts of a pool's load, 0 without a forecast; on the owner",
 		},
+		{
+			Name:   PoolHeldTeams,
+			Kind:   KindGauge,
+			Unit:   "1",
+			Labels: "pool",
+			Help:   "teams with work beyond their share while a pool is full; on the owner",
+		},
 		{
 			Name:   VMsAhead,
 			Kind:   KindCounter,
--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -102,9 +102,9 @@
 // of some seconds at several times the mean rate.
 const burstSeconds = 4.0
 
-// exceedsShare takes a token for the job from its team's bucket. It returns true if there
-// was none, so that the job is beyond the rate that the team is entitled to.
-func (e *Engine) exceedsShare(doc *jobkeeper.Job, now time.Duration) bool {
+// exceedsRate takes a token for the job from its team's bucket. It returns true if there was none.
+// The forecast leaves such jobs out, as they aren't expected again.
+func (e *Engine) exceedsRate(doc *jobkeeper.Job, now time.Duration) bool {
 	team, ok := e.conf.Teams[doc.Team]
 	if !ok || team.Weight <= 0 {
 		return false
--- a/pkg/orchestrator/forecast.go
+++ b/pkg/orchestrator/forecast.go
@@ -69,7 +69,7 @@
 // recordArrival counts a job in the load of its pool: a fresh one, which has just arrived, or one
 // that arrived after the earlier owner stored its forecast.
 func (e *Engine) recordArrival(j *job, fresh bool, now time.Duration) {
-	if j.doc.Scheduled() || j.doc.LongRunning() || j.overShare {
+	if j.doc.Scheduled() || j.doc.LongRunning() || j.overRate {
 		return
 	}
 	p, f := e.pool(e.poolOf(j)), e.loadForecast
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -15,7 +15,9 @@
 	doc            *jobkeeper.Job
 	created        storer.Version // revision of its document
 	arrival        time.Duration  // when it was accepted, on the engine's clock
-	overShare      bool           // beyond the job rate that its team is entitled to
+	overRate       bool           // beyond the job rate that is expected of its team
+	excess         float64        // sequencer.Work.Excess, by the last plan
+	entitled       bool           // sequencer.Work.Entitled, by the last plan
 	planned        bool           // expected to end on time
 	reachable      bool           // expected to if VMs that are coming were there
 	cancelled      bool
@@ -221,7 +223,7 @@
 		return
 	}
 	e.active = append(e.active, j)
-	j.overShare = e.exceedsShare(doc, now)
+	j.overRate = e.exceedsRate(doc, now)
 	j.planned, j.reachable = true, true
 	e.openOccurrences(now, nowMS)
 	e.recordArrival(j, created > e.cfg.Fence, now)
@@ -233,7 +235,7 @@
 	}
 	e.cfg.Logger.Info("job loaded", "job", doc.ID, "queue", doc.Queue, "team", doc.Team, "state", j.state,
 		"age_ms", (now - j.arrival).Milliseconds(), "work_ms", doc.WorkMS(), "chain_ms", doc.CriticalPathMS(),
-		"expected_chain_ms", j.chain().Milliseconds(), "excess", j.overShare)
+		"expected_chain_ms", j.chain().Milliseconds(), "over_rate", j.overRate)
 }
 
 // addStopping adds a job that has ended but may have runs that an earlier owner could not stop.
--- a/pkg/orchestrator/observer.go
+++ b/pkg/orchestrator/observer.go
@@ -84,6 +84,8 @@
 	// ForecastError its relative error. Both are zero if no cycle is known.
 	Forecast      int64
 	ForecastError float64
+	// HeldTeams is the number of teams with work beyond their share while the pool is full.
+	HeldTeams int
 }
 
 // Usage returns what the runs of each team reserve, including tasks that may be running on
@@ -148,6 +150,7 @@
 
 			Forecast:      p.forecast.arriving,
 			ForecastError: p.forecast.err,
+			HeldTeams:     len(p.held),
 		})
 	}
 	return states
--- a/pkg/orchestrator/orchestrator.go
+++ b/pkg/orchestrator/orchestrator.go
@@ -188,6 +188,8 @@
 	demand  demand
 	offered offeredLoad
 	waits   sequencer.Waits // by the last plan
+	shares  sequencer.ShareAccount
+	held    map[string]*hold // by team
 	// forecast is the load that is expected of a recurring one.
 	forecast poolForecast
 	speed    poolSpeed
@@ -270,6 +272,7 @@
 	if p == nil {
 		p = &pool{
 			name: name,
+			held: map[string]*hold{},
 			ejector: ejector.New(ejector.Config{
 				Consecutive: ejectAfterFailures,
 				Base:        firstEjection,
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -21,6 +21,7 @@
 	}
 	e.plannedAt = now
 	works := map[string][]sequencer.Work{}
+	running := map[string]map[string]int64{} // millicores by pool and team
 	for _, j := range e.active {
 		if j.doc.LongRunning() {
 			continue
@@ -30,16 +31,26 @@
 		}
 		name := e.poolOf(j)
 		works[name] = append(works[name], e.work(j, now))
+		if running[name] == nil {
+			running[name] = map[string]int64{}
+		}
+		running[name][j.doc.Team] += j.runningMillicores()
 	}
 	e.measure(now)
-	for _, p := range e.pools {
+	weights := e.teamWeights()
+	for name, p := range e.pools {
 		p.waits = sequencer.Waits{}
+		p.shares.Charge(running[name], now)
+		if works[name] == nil {
+			e.noteHeldTeams(p, nil, now)
+		}
 	}
 	for name, list := range works {
 		p := e.pool(name)
 		capacity := e.planCapacity(p, now)
-		planned := sequencer.Plan(list, capacity)
-		p.waits = sequencer.OnTimeWaits(list, planned, capacity)
+		plan := sequencer.PlanByShare(list, capacity, weights, &p.shares)
+		planned := plan.Planned
+		p.waits = sequencer.OnTimeWaits(list, plan, capacity)
 		reachable := planned
 		if capacity.Coming > 0 {
 			reachable = sequencer.Plan(list, capacity.Reachable())
@@ -47,7 +58,9 @@
 		for _, w := range list {
 			j := e.jobs[w.ID]
 			j.planned, j.reachable = planned[w.ID], reachable[w.ID]
+			j.excess, j.entitled = plan.Excess[w.ID], plan.Entitled[w.Team]
 		}
+		e.noteHeldTeams(p, plan.Held, now)
 	}
 }
 
@@ -115,11 +128,10 @@
 // time and the critical path are those of the occurrence that is due first.
 func (e *Engine) work(j *job, now time.Duration) sequencer.Work {
 	w := sequencer.Work{
-		ID:        j.doc.ID,
-		Team:      j.doc.Team,
-		Started:   j.started,
-		OverShare: j.overShare,
-		Due:       j.arrival + e.objective(j) - now,
+		ID:      j.doc.ID,
+		Team:    j.doc.Team,
+		Started: j.started,
+		Due:     j.arrival + e.objective(j) - now,
 	}
 	if first := j.current(); first != nil {
 		w.Due = first.due + e.objectiveOf(first) - now
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -113,7 +113,8 @@
 	return sequencer.Candidate{
 		LongRunning: s.step.LongRunning && !s.step.BestEffort,
 		Planned:     j.planned,
-		OverShare:   j.overShare,
+		Excess:      j.excess,
+		Entitled:    j.entitled,
 		Started:     j.started,
 		Priority:    e.queueOf(j).Priority,
 		Slack:       due - now - s.forecast.path(),
@@ -200,7 +201,7 @@
 	e.waitLoggedAt = now
 	team := s.job.doc.Team
 	e.cfg.Logger.Info("job step waiting", "job", s.job.doc.ID, "step", s.index, "for", reason, "pool", p.name, "targets", len(p.targets), "usable", p.demand.usable,
-		"waited_ms", waited.Milliseconds(), "needs", s.step.Needs, "label", s.step.Label, "per_target", s.step.PerTarget, "gang", s.step.Gang, "planned", s.job.planned, "excess", s.job.overShare, "slack_ms", g.candidate.Slack.Milliseconds(),
+		"waited_ms", waited.Milliseconds(), "needs", s.step.Needs, "label", s.step.Label, "per_target", s.step.PerTarget, "gang", s.step.Gang, "planned", s.job.planned, "excess", s.job.excess, "slack_ms", g.candidate.Slack.Milliseconds(),
 		"team", team, "team_used", e.usage[team], "team_limit", e.conf.Teams[team].Limit)
 }
 
--- a/pkg/sequencer/plan.go
+++ b/pkg/sequencer/plan.go
@@ -11,10 +11,13 @@
 
 // Work describes the part of a job that is left, as far as Plan needs it to estimate its end.
 type Work struct {
-	ID        string
-	Team      string
-	Started   bool
-	OverShare bool // beyond the share that its team may expect to be served
+	ID       string
+	Team     string
+	Started  bool
+	Entitled bool // its team asks for no more than its share while the pool is full
+	// Excess is how far the job is beyond the share of its team while the pool is full, in
+	// core-milliseconds for a unit of weight; zero if it is within the share.
+	Excess float64
 	// CoreMS is the work that is left, in core-milliseconds.
 	CoreMS int64
 	// Chain is the longest chain of dependent work that is left.
@@ -59,7 +62,7 @@
 // Plan returns the jobs that are expected to end on time if they are served in order of their
 // latest start times. If more work is due than the pool can do, it leaves jobs out, so that
 // not all of them end late. Started jobs come first; within the started and the other jobs,
-// those beyond the share of their team come last.
+// those of entitled teams come first and those beyond the share of their team last.
 //
 // The wait of a job is the time that the pool, or its team within its limit, needs for the
 // work planned before it; its own chain is added to that. Gaps between tasks and gangs are
@@ -68,8 +71,8 @@
 	drawn := drawnJobs(jobs)
 	order := slices.Clone(jobs)
 	slices.SortFunc(order, func(a, b Work) int {
-		return cmp.Or(compareBool(b.Started, a.Started), compareBool(a.OverShare, b.OverShare),
-			compareBool(drawn[b.ID], drawn[a.ID]),
+		return cmp.Or(compareBool(b.Started, a.Started), cmp.Compare(a.Excess, b.Excess),
+			compareBool(b.Entitled, a.Entitled), compareBool(drawn[b.ID], drawn[a.ID]),
 			cmp.Compare(a.Due-a.Chain, b.Due-b.Chain), cmp.Compare(a.ID, b.ID))
 	})
 	planned := map[string]bool{}
@@ -90,7 +93,7 @@
 	}
 	for _, w := range order {
 		fits := wait(w)+w.Chain <= w.Due+lateTolerance
-		if !fits && !w.OverShare && len(displaceable) > 0 && w.Chain <= w.Due+lateTolerance && displaceable[0].CoreMS >= displacedFactor*w.CoreMS {
+		if !fits && w.Excess == 0 && len(displaceable) > 0 && w.Chain <= w.Due+lateTolerance && displaceable[0].CoreMS >= displacedFactor*w.CoreMS {
 			largest := heap.Pop(&displaceable).(Work)
 			add(largest, -1)
 			if fits = wait(w)+w.Chain <= w.Due+lateTolerance; !fits {
@@ -161,30 +164,42 @@
 
 // Waits is how long new work waits for the planned work before it.
 type Waits struct {
-	All   time.Duration
-	Teams map[string]time.Duration // within the upper limit of a team
+	All time.Duration
+	// Teams holds the waits of teams with an upper limit, within it, and of teams beyond their share,
+	// for all planned work and for their own work beyond it.
+	Teams map[string]time.Duration
 }
 
 // OnTimeWaits returns the waits for the jobs that are planned.
-func OnTimeWaits(jobs []Work, planned map[string]bool, capacity Capacity) Waits {
-	var ahead int64
+func OnTimeWaits(jobs []Work, plan SharedPlan, capacity Capacity) Waits {
+	var ahead, sum int64
 	ofTeam := map[string]int64{}
+	beyond := map[string]int64{} // work that isn't planned, of teams beyond their share
 	for _, w := range jobs {
-		if planned[w.ID] {
+		if !plan.Planned[w.ID] {
+			if plan.Excess[w.ID] > 0 {
+				beyond[w.Team] += w.CoreMS
+			}
+			continue
+		}
+		sum += w.CoreMS
+		if plan.Excess[w.ID] == 0 {
 			ahead += w.CoreMS
-			ofTeam[w.Team] += w.CoreMS
 		}
+		ofTeam[w.Team] += w.CoreMS
 	}
 	waits := Waits{
-		All:   capacity.BusyTime(ahead),
 		Teams: map[string]time.Duration{},
 	}
-	if ahead == 0 {
-		waits.All = 0
+	if ahead > 0 {
+		waits.All = capacity.BusyTime(ahead)
+	}
+	for team := range plan.Held {
+		waits.Teams[team] = capacity.BusyTime(sum + beyond[team])
 	}
 	for team, coreMS := range ofTeam {
 		if limit, limited := capacity.TeamMillicores[team]; limited {
-			waits.Teams[team] = busyTime(coreMS, limit)
+			waits.Teams[team] = max(waits.Teams[team], busyTime(coreMS, limit))
 		}
 	}
 	return waits
--- a/pkg/sequencer/sequencer.go
+++ b/pkg/sequencer/sequencer.go
@@ -19,8 +19,11 @@
 	LongRunning bool
 	// Planned work is expected to end on time with the capacity that the pool has.
 	Planned bool
-	// OverShare marks work beyond the share that its team may expect to be served.
-	OverShare bool
+	// Excess is how far the work is beyond the share of its team while the pool is full, in
+	// core-milliseconds for a unit of weight; zero if it is within the share.
+	Excess float64
+	// Entitled marks work of a team that asks for no more than its share while the pool is full.
+	Entitled bool
 	// Started jobs have used capacity that is wasted if they end late.
 	Started bool
 	// Priority is that of the queue; 0 comes first.
@@ -56,9 +59,15 @@
 	if a.Priority != b.Priority {
 		return cmp.Compare(a.Priority, b.Priority)
 	}
+	if rank(a) == rankExcess && a.Excess != b.Excess {
+		return cmp.Compare(a.Excess, b.Excess)
+	}
 	if a.Late() {
 		return compareLate(a, b)
 	}
+	if a.Entitled != b.Entitled {
+		return orderTrueFirst(a.Entitled)
+	}
 	return cmp.Or(cmp.Compare(a.Slack, b.Slack), cmp.Compare(a.Arrival, b.Arrival))
 }
 
@@ -74,13 +83,16 @@
 	return cmp.Compare(a.Arrival, b.Arrival)
 }
 
+// rankExcess is the rank of unplanned work beyond the share of its team.
+const rankExcess = 4
+
 // rank puts work that is expected to meet its objective first: started jobs before others, so
 // that the capacity they have used is not wasted. Unplanned work over the share of its team
 // comes last.
 func rank(c Candidate) int {
 	switch {
-	case c.OverShare && !c.Planned:
-		return 4
+	case c.Excess > 0 && !c.Planned:
+		return rankExcess
 	case c.Late():
 		return 3
 	case !c.Planned:
