sequencer: work beyond a share waits behind work on time, not behind late work

Cause: unplanned work beyond a share was ordered after late work, and jobs of entitled teams before all others. When VMs arrive sooner than planned, work that could still be on time waited behind work that couldn't.

Change: it comes after other work without room and before late work, least excess first. Entitled teams get a margin of 0.4 s.

--- a/pkg/sequencer/plan.go
+++ b/pkg/sequencer/plan.go
@@ -62,7 +62,7 @@
 // Plan returns the jobs that are expected to end on time if they are served in order of their
 // latest start times. If more work is due than the pool can do, it leaves jobs out, so that
 // not all of them end late. Started jobs come first; within the started and the other jobs,
-// those of entitled teams come first and those beyond the share of their team last.
+// those beyond the share of their team come last.
 //
 // The wait of a job is the time that the pool, or its team within its limit, needs for the
 // work planned before it; its own chain is added to that. Gaps between tasks and gangs are
@@ -72,8 +72,8 @@
 	order := slices.Clone(jobs)
 	slices.SortFunc(order, func(a, b Work) int {
 		return cmp.Or(compareBool(b.Started, a.Started), cmp.Compare(a.Excess, b.Excess),
-			compareBool(b.Entitled, a.Entitled), compareBool(drawn[b.ID], drawn[a.ID]),
-			cmp.Compare(a.Due-a.Chain, b.Due-b.Chain), cmp.Compare(a.ID, b.ID))
+			compareBool(drawn[b.ID], drawn[a.ID]),
+			cmp.Compare(a.latestStart(), b.latestStart()), cmp.Compare(a.ID, b.ID))
 	})
 	planned := map[string]bool{}
 	var ahead int64
@@ -123,6 +123,9 @@
 	drawnLargeJobs = 6
 )
 
+// latestStart returns the time by which the job has to start.
+func (w Work) latestStart() time.Duration { return w.Due - w.Chain - margin(w.Entitled) }
+
 // drawnJobs returns the large jobs that are served before all others that have not started, so that
 // large jobs do not starve while small ones fill the pool. They are drawn by their IDs, so that each
 // plan draws the same.
--- a/pkg/sequencer/sequencer.go
+++ b/pkg/sequencer/sequencer.go
@@ -59,16 +59,13 @@
 	if a.Priority != b.Priority {
 		return cmp.Compare(a.Priority, b.Priority)
 	}
-	if rank(a) == rankExcess && a.Excess != b.Excess {
+	if rank(a) == rankUnplanned && a.Excess != b.Excess {
 		return cmp.Compare(a.Excess, b.Excess)
 	}
 	if a.Late() {
 		return compareLate(a, b)
 	}
-	if a.Entitled != b.Entitled {
-		return orderTrueFirst(a.Entitled)
-	}
-	return cmp.Or(cmp.Compare(a.Slack, b.Slack), cmp.Compare(a.Arrival, b.Arrival))
+	return cmp.Or(cmp.Compare(a.Slack-margin(a.Entitled), b.Slack-margin(b.Entitled)), cmp.Compare(a.Arrival, b.Arrival))
 }
 
 // compareLate puts late work first that is done soonest, so that the fewest callers wait. Work that
@@ -83,20 +80,29 @@
 	return cmp.Compare(a.Arrival, b.Arrival)
 }
 
-// rankExcess is the rank of unplanned work beyond the share of its team.
-const rankExcess = 4
+// entitledMargin is how much sooner than others jobs of entitled teams start. A plan that fills the
+// pool starts jobs as late as they can start, and durations are predicted within a fifth.
+const entitledMargin = 400 * time.Millisecond
+
+func margin(entitled bool) time.Duration {
+	if entitled {
+		return entitledMargin
+	}
+	return 0
+}
+
+// rankUnplanned is the rank of work that could meet its objective, but for which there is no room.
+const rankUnplanned = 2
 
 // rank puts work that is expected to meet its objective first: started jobs before others, so
-// that the capacity they have used is not wasted. Unplanned work over the share of its team
-// comes last.
+// that the capacity they have used is not wasted. Work for which there is no room follows, and work
+// that is late.
 func rank(c Candidate) int {
 	switch {
-	case c.Excess > 0 && !c.Planned:
-		return rankExcess
 	case c.Late():
 		return 3
 	case !c.Planned:
-		return 2
+		return rankUnplanned
 	case !c.Started:
 		return 1
 	}
--- a/pkg/sequencer/share.go
+++ b/pkg/sequencer/share.go
@@ -79,8 +79,7 @@
 	// work of other teams leaves room, those of the team that is least beyond its share first.
 	Excess map[string]float64
 	// Held holds the teams with such jobs, Entitled those that ask for no more than their share of
-	// the pool while it is full. Jobs of the latter come first, as a plan that fills the pool starts
-	// the others as late as they can.
+	// the pool while it is full.
 	Held, Entitled map[string]bool
 }
 
@@ -103,6 +102,7 @@
 	result.divide(claims, fairLevel(claims, budget), planned)
 	account.note(claims, result.Held)
 	if len(result.Held) == 0 {
+		result.Entitled = nil
 		return result
 	}
 	marked := slices.Clone(jobs)
