--- a/pkg/sequencer/plan.go
+++ b/pkg/sequencer/plan.go
@@ -123,7 +123,7 @@
 	drawnLargeJobs = 6
 )
 
-// latestStart returns the time by which the job has to start.
+// latestStart returns the time until the job has to start, with the margin of entitled teams.
 func (w Work) latestStart() time.Duration { return w.Due - w.Chain - margin(w.Entitled) }
 
 // drawnJobs returns the large jobs that are served before all others that have not started, so that
