sequencer: refused callers return after 7.5 s at the latest

Change: Retry-After is at most 5 s, which is as long as a report of an owner counts, and half as much again by the ID of the job.

--- a/pkg/sequencer/admit.go
+++ b/pkg/sequencer/admit.go
@@ -6,6 +6,11 @@
 // its objective. A job that ends later is of no use to its caller; the users state the figure.
 const MaxTotalTimeFactor = 3
 
+// MaxRetryAfter bounds the time after which refused work is to return, without jitter. What a pool can
+// do changes sooner: VMs arrive within two seconds, and a pool that has none yet knows no wait at all.
+// Reports of owners count for as long.
+const MaxRetryAfter = 5 * time.Second
+
 // Arrival describes a job that asks to be accepted.
 type Arrival struct {
 	Chain     time.Duration // longest chain of dependent work, as predicted
@@ -21,8 +26,8 @@
 
 // Admit reports whether a job can still end early enough to be of use to its caller: on time, behind
 // the other work that is on time, or late, behind all work. If not, retryAfter is the time after
-// which the job would be on time, provided that the backlog keeps shrinking; Jitter extends it by
-// up to a half.
+// which the job would be on time, provided that the backlog keeps shrinking, and at most
+// MaxRetryAfter; Jitter extends it by up to a half.
 //
 // It limits overload: a queue may ask for several times the capacity of the fleet, for longer
 // than its callers wait. Accepted work has to be finished, so each job that is accepted too
@@ -32,7 +37,7 @@
 	if onTime || a.Wait+a.Chain <= MaxTotalTimeFactor*a.Objective {
 		return true, 0
 	}
-	untilOnTime := a.OnTimeWait + a.Chain - a.Objective
+	untilOnTime := min(a.OnTimeWait+a.Chain-a.Objective, MaxRetryAfter)
 	return false, time.Duration(float64(untilOnTime) * (1 + a.Jitter/2))
 }
 
