manager: the test of stored forecasts submits jobs for each cell

Cause: TestOwnerStoresForecastForTheNextOne failed in 23 of 1,500 runs: all of its 8 jobs were drawn to one cell, and the owner of the other one had no load to store. Change: 40 jobs. The checks are the same.

--- a/internal/manager/forecast_test.go
+++ b/internal/manager/forecast_test.go
@@ -31,7 +31,7 @@
 				}
 				a, stop := i.startBoth()
 				defer stop()
-				i.submit(a, 8)
+				i.submit(a, 40) // cells are drawn at random, and each has to get some
 				time.Sleep(6 * time.Second)
 				series := 0
 				for _, cell := range []string{"c0-0", "c1-0"} {
