--- a/pkg/partitioner/layout.go
+++ b/pkg/partitioner/layout.go
@@ -15,8 +15,6 @@
 	"hash/fnv"
 	"maps"
 	"slices"
-
-	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
 )
 
 const (
@@ -51,9 +49,6 @@
 	Groups [][]string `cbor:"1,keyasint,omitempty"`
 	// Parts is the number of cells of each group.
 	Parts int `cbor:"2,keyasint,omitempty"`
-	// MinShare is the smallest share of a team's upper limit that a cell gets. It is zero in fleets
-	// that were divided before it was stored; their shares stay as they are.
-	MinShare jobkeeper.Resources `cbor:"3,keyasint"`
 }
 
 // Divide returns the layout for a fleet: as few cells as CellTargets allows, of whole zones, or
@@ -73,8 +68,7 @@
 		largest = max(largest, sizes[m.Zone])
 	}
 	l := Layout{
-		Parts:    ceil(largest, most),
-		MinShare: minShare,
+		Parts: ceil(largest, most),
 	}
 	n := min(len(sizes), ceil(len(members), size))
 	if l.Parts > 1 {
--- a/pkg/partitioner/share.go
+++ b/pkg/partitioner/share.go
@@ -8,17 +8,8 @@
 )
 
 // minShare is the smallest share of a team's upper limit that a cell gets: enough for several
-// wide jobs, so that work does not wait in one cell for a share that another leaves unused. A team
-// with a share in one cell only has nowhere to go while that cell lacks VMs or an owner, so the
-// memory is what work of few GB for each core needs.
+// wide jobs, so that work does not wait in one cell for a share that another leaves unused.
 var minShare = jobkeeper.Resources{
-	CPUMillis: 400_000,
-	MemoryMB:  400_000,
-	GPUs:      64,
-}
-
-// earlierMinShare is that of fleets whose Layout states none.
-var earlierMinShare = jobkeeper.Resources{
 	CPUMillis: 400_000,
 	MemoryMB:  1_600_000,
 	GPUs:      64,
@@ -30,16 +21,12 @@
 func (l Layout) Homes(team string, limit jobkeeper.Resources) []string {
 	cells := l.Cells()
 	n := len(cells)
-	least := l.MinShare
-	if least == (jobkeeper.Resources{}) {
-		least = earlierMinShare
-	}
 	for _, r := range [][2]int64{
-		{limit.CPUMillis, least.CPUMillis},
-		{limit.MemoryMB, least.MemoryMB},
-		{limit.GPUs, least.GPUs},
+		{limit.CPUMillis, minShare.CPUMillis},
+		{limit.MemoryMB, minShare.MemoryMB},
+		{limit.GPUs, minShare.GPUs},
 	} {
-		if r[0] > 0 && r[1] > 0 {
+		if r[0] > 0 {
 			n = min(n, max(1, int(r[0]/r[1])))
 		}
 	}
