manager: a record of orders for VMs counts only if the last owner wrote one

Cause: while releases are mixed, an owner of the earlier one may order VMs between two owners that record their orders. The second of these took the old record for complete and could order a VM within LeaseMs of the owner between. Change: owners say in the report of their cell that they record orders; one that finds another report waits with all VMs, as without a record.

--- a/internal/manager/fleet_view.go
+++ b/internal/manager/fleet_view.go
@@ -47,6 +47,9 @@
 	Durations []orchestrator.QueueDurations `cbor:"6,keyasint,omitempty"`
 	// Evacuated holds the runs that are left in evacuated availability zones.
 	Evacuated []orchestrator.ZoneRuns `cbor:"7,keyasint,omitempty"`
+	// RecordsVMOrders is true if the owner records its orders for VMs. Owners of earlier releases
+	// don't.
+	RecordsVMOrders bool `cbor:"8,keyasint,omitempty"`
 }
 
 // poolReport is the part of a cell's report on a pool.
--- a/internal/manager/recorder.go
+++ b/internal/manager/recorder.go
@@ -325,10 +325,11 @@
 	defer o.mu.Unlock()
 	now := o.cfg.Clock()
 	r := cellReport{
-		Queues:        o.engine.QueueStates(now),
-		Configuration: o.configRevision,
-		OverShare:     o.overShare(),
-		Evacuated:     o.engine.EvacuatedZones(),
+		Queues:          o.engine.QueueStates(now),
+		Configuration:   o.configRevision,
+		OverShare:       o.overShare(),
+		Evacuated:       o.engine.EvacuatedZones(),
+		RecordsVMOrders: true,
 	}
 	if o.durations == nil || now-o.durationsAt >= publishRefresh {
 		o.durations, o.durationsAt = o.engine.Durations(), now
--- a/internal/manager/vm_orders.go
+++ b/internal/manager/vm_orders.go
@@ -132,7 +132,8 @@
 }
 
 // readVMOrders reads for which VMs the earlier owner may have given its last orders. Without a
-// readable record, vmOrdersKnown stays false: it may have ordered any VM.
+// readable record, or if the last report of the cell is of an owner that writes none, vmOrdersKnown
+// stays false: it may have ordered any VM.
 func (o *owner) readVMOrders(ctx context.Context) error {
 	items, err := o.scan(ctx, vmOrdersKey(o.cell))
 	if err != nil {
@@ -149,11 +150,30 @@
 			return nil
 		}
 		o.vmOrders.inherit(record, o.term.AcquiredAt)
-		o.vmOrdersKnown = true
+		if o.vmOrdersKnown, err = o.vmOrdersWereRecorded(ctx); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+// vmOrdersWereRecorded reports whether the owner of the last report of the cell recorded its orders
+// for VMs. While releases are mixed, an owner may follow one that did not touch an older record.
+func (o *owner) vmOrdersWereRecorded(ctx context.Context) (bool, error) {
+	items, err := o.scan(ctx, reportKey(o.cell))
+	if err != nil {
+		return false, err
+	}
+	for _, item := range items {
+		var report cellReport
+		if item.Key == reportKey(o.cell) && cbor.Unmarshal(item.Value, &report) == nil {
+			return report.RecordsVMOrders, nil
+		}
+	}
+	o.logger.Info("no report tells whether orders for VMs were recorded, ordering none for the whole delay", "key", reportKey(o.cell))
+	return false, nil
+}
+
 // recordVMOrders sends the orders for VMs until ctx ends. It records their VMs first, so that the
 // next owner of the cell, which reads the record after it has acquired ownership, knows all VMs
 // that this one may have ordered: from then on, the record can't be written here. known is false
--- a/internal/manager/vm_orders_test.go
+++ b/internal/manager/vm_orders_test.go
@@ -215,6 +215,16 @@
 			within: 4 * time.Second,
 			least:  handoverDelay,
 		},
+		{
+			name: "report of a release without the record",
+			end: func(i *installation, crashed *atomic.Bool, _ func()) {
+				crashed.Store(true)
+				time.Sleep(100 * time.Millisecond)
+				i.put("shared/report/fleet", "\xa0")
+			},
+			within: 4 * time.Second,
+			least:  handoverDelay,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
