manager, carrier: handed-on calls don't fall back to an older configuration

Cause: a daemon that the store turns away hands calls to neighbors, which may have an older configuration than it, or a newer one: after the store serves it again it decided by its own older one until its watch had caught up. So callers of one daemon could see a version and then an earlier one. Change: a call names the revision of the configuration of its daemon, and a neighbor with an older one refuses; an answer names that of the neighbor, and until the daemon has read it, for 5 s at most, it hands calls on.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -19,6 +19,7 @@
 	"github.com/comfreyford/comfreyford/internal/manager"
 	"github.com/comfreyford/comfreyford/pkg/budgeter"
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
+	"github.com/comfreyford/comfreyford/pkg/storer"
 )
 
 // Error is the class of all errors of this package.
@@ -53,6 +54,8 @@
 	Key    string           `cbor:"4,keyasint,omitempty"`
 	LeftMS int64            `cbor:"5,keyasint"` // until the caller's deadline
 	Job    *jobkeeper.Job   `cbor:"6,keyasint,omitempty"`
+	// Revision is that of the configuration of the daemon that hands the call on.
+	Revision storer.Version `cbor:"7,keyasint,omitempty"`
 }
 
 // answer is a result as it is carried.
@@ -62,6 +65,8 @@
 	State        jobkeeper.State `cbor:"3,keyasint,omitempty"`
 	WaitingJobs  int             `cbor:"4,keyasint,omitempty"`
 	RetryAfterMS int64           `cbor:"5,keyasint,omitempty"`
+	// Revision is that of the configuration of the daemon that answers.
+	Revision storer.Version `cbor:"6,keyasint,omitempty"`
 }
 
 // Client hands calls to other daemons.
@@ -90,12 +95,13 @@
 // Carry implements manager.CallCarrier.
 func (c *Client) Carry(ctx context.Context, address string, kind manager.CallKind, call manager.Call) (manager.Result, error) {
 	data, err := cbor.Marshal(request{
-		Kind:   kind,
-		Host:   call.Host,
-		Path:   call.Path,
-		Key:    call.Key,
-		LeftMS: time.Until(call.Deadline).Milliseconds(),
-		Job:    call.Job,
+		Kind:     kind,
+		Host:     call.Host,
+		Path:     call.Path,
+		Key:      call.Key,
+		LeftMS:   time.Until(call.Deadline).Milliseconds(),
+		Job:      call.Job,
+		Revision: call.Revision,
 	})
 	if err != nil {
 		return manager.Result{}, Error.New("%w: %w", manager.ErrNotSent, err)
@@ -132,6 +138,7 @@
 		State:       a.State,
 		WaitingJobs: a.WaitingJobs,
 		RetryAfter:  time.Duration(a.RetryAfterMS) * time.Millisecond,
+		Revision:    a.Revision,
 	}, nil
 }
 
@@ -175,6 +182,7 @@
 			Key:      q.Key,
 			Deadline: time.Now().Add(time.Duration(q.LeftMS) * time.Millisecond),
 			Job:      q.Job,
+			Revision: q.Revision,
 		})
 		body, err := cbor.Marshal(answer{
 			Verdict:      result.Verdict,
@@ -182,6 +190,7 @@
 			State:        result.State,
 			WaitingJobs:  result.WaitingJobs,
 			RetryAfterMS: result.RetryAfter.Milliseconds(),
+			Revision:     result.Revision,
 		})
 		if err != nil {
 			panic(http.ErrAbortHandler) // the call was answered, so that its outcome is unknown
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -36,6 +36,7 @@
 		Path:     "/quotes/5c0e7a21d94b36f8",
 		Key:      "k1",
 		Deadline: time.Now().Add(3 * time.Second),
+		Revision: 8,
 		Job: &jobkeeper.Job{
 			Spec: "s",
 			Steps: []jobkeeper.Step{{
@@ -55,6 +56,7 @@
 			State:       jobkeeper.StateRunning,
 			WaitingJobs: 7,
 			RetryAfter:  1500 * time.Millisecond,
+			Revision:    9,
 		},
 	}
 	daemon := httptest.NewServer(carrier.NewHandler(server))
--- a/internal/manager/configuration.go
+++ b/internal/manager/configuration.go
@@ -104,6 +104,14 @@
 	return s.stored
 }
 
+// revision returns the revision of the newest configuration, or zero before the first one.
+func (s *settings) revision() storer.Version {
+	if c := s.current(); c != nil {
+		return c.revision
+	}
+	return 0
+}
+
 // state returns the configuration, the waves and a channel that closes at the next change.
 func (s *settings) state() (*storedConfiguration, map[string]orchestrator.Wave, <-chan struct{}) {
 	s.mu.Lock()
--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -34,6 +34,8 @@
 	State       jobkeeper.State
 	WaitingJobs int
 	RetryAfter  time.Duration // when to repeat the request; zero if nothing can be said
+	// Revision is that of the configuration of a neighbor that answered.
+	Revision storer.Version
 }
 
 // Call is a request of a caller.
@@ -46,6 +48,8 @@
 	Job *jobkeeper.Job
 	// Forwarded is set if another daemon has handed the call on; it is not handed on again.
 	Forwarded bool
+	// Revision is that of the configuration of the daemon that handed the call on.
+	Revision storer.Version
 }
 
 const (
--- a/internal/manager/neighbor.go
+++ b/internal/manager/neighbor.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -78,6 +79,7 @@
 	router   *forwarder.Router
 	draining atomic.Bool
 	lease    storer.LeaseID
+	newest   answeredRevision
 }
 
 func newNeighborhood(cfg Config) *neighborhood {
@@ -199,12 +201,17 @@
 		return local(ctx, call)
 	}
 	result := unavailable("store unavailable")
-	if !f.neighbors.router.Unserved(f.cfg.Clock()) {
+	switch {
+	case f.neighbors.router.Unserved(f.cfg.Clock()):
+	case f.neighbors.newest.after(f.settings.revision(), f.cfg.Clock()):
+		result = unavailable("configuration not up to date")
+	default:
 		result = local(ctx, call)
 	}
 	if result.Verdict != VerdictUnavailable && result.Verdict != VerdictUnknown {
 		return result
 	}
+	call.Revision = f.settings.revision()
 	return f.neighbors.handOn(ctx, kind, call, result)
 }
 
@@ -221,20 +228,52 @@
 	if f.neighbors != nil && (f.neighbors.draining.Load() || f.neighbors.router.Unserved(f.cfg.Clock())) {
 		return unavailable("store unavailable here, too")
 	}
-	switch kind {
-	case CallSubmit:
-		if call.Job != nil {
-			return f.Submit(ctx, call)
-		}
-	case CallState:
-		return f.State(ctx, call)
-	case CallCancel:
-		return f.Cancel(ctx, call)
+	if f.settings.revision() < call.Revision {
+		return unavailable("configuration older than that of the daemon that hands the call on")
 	}
-	return Result{
+	result := Result{
 		Verdict: VerdictInvalid,
 		Reason:  "kind of call unknown",
 	}
+	switch {
+	case kind == CallSubmit && call.Job != nil:
+		result = f.Submit(ctx, call)
+	case kind == CallState:
+		result = f.State(ctx, call)
+	case kind == CallCancel:
+		result = f.Cancel(ctx, call)
+	}
+	result.Revision = f.settings.revision()
+	return result
+}
+
+// maxRevisionLag is how long a daemon may take to read a configuration by which a neighbor has
+// answered one of its callers. After that it decides by its own again, which it may be unable to
+// replace: a configuration that it can't read stays out of force.
+const maxRevisionLag = 5 * time.Second
+
+// answeredRevision is the newest revision of a configuration by which neighbors have answered
+// callers of this daemon. It is safe for concurrent use.
+type answeredRevision struct {
+	mu       sync.Mutex
+	revision storer.Version
+	at       time.Duration
+}
+
+func (a *answeredRevision) add(revision storer.Version, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if revision > a.revision {
+		a.revision, a.at = revision, now
+	}
+}
+
+// after reports whether callers were answered by a newer configuration than that of the revision,
+// so that they would see an older one again.
+func (a *answeredRevision) after(revision storer.Version, now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.revision > revision && now-a.at < maxRevisionLag
 }
 
 // handOn hands a call to neighbors until one has served it. own is the answer of this daemon: a
@@ -282,6 +321,7 @@
 	defer cancel()
 	began := n.cfg.Clock()
 	result, err := n.cfg.Neighbors.Carrier.Carry(ctx, attempt.Address, kind, call)
+	n.newest.add(result.Revision, n.cfg.Clock())
 	outcome := string(result.Verdict)
 	switch {
 	case err != nil && errors.Is(err, ErrNotSent):
--- a/internal/manager/neighbor_test.go
+++ b/internal/manager/neighbor_test.go
@@ -62,12 +62,13 @@
 	return len(c.carried)
 }
 
-// refusingStore refuses the calls of one daemon while refuse is set, and leaves its writes without
-// an answer while silent is set, although it carries them out.
+// refusingStore refuses the calls of one daemon while refuse is set, leaves its writes without an
+// answer while silent is set, although it carries them out, and tells of no changes while deaf is set.
 type refusingStore struct {
 	storer.TransactionalStore
 	refuse  atomic.Bool
 	silent  atomic.Bool
+	deaf    atomic.Bool
 	commits atomic.Int64
 }
 
@@ -89,6 +90,12 @@
 	if s.refuse.Load() {
 		return storer.Changes{}, storer.ErrUnavailable
 	}
+	if s.deaf.Load() {
+		time.Sleep(wait)
+		return storer.Changes{
+			Revision: after,
+		}, nil
+	}
 	return s.TransactionalStore.WatchPrefix(ctx, prefix, after, wait)
 }
 
