--- a/internal/manager/neighbor_test.go
+++ b/internal/manager/neighbor_test.go
@@ -63,7 +63,8 @@
 }
 
 // refusingStore refuses the calls of one daemon while refuse is set, leaves its writes without an
-// answer while silent is set, although it carries them out, and tells of no changes while deaf is set.
+// answer while silent is set, although it carries them out, and tells of no changes
+// while deaf is set.
 type refusingStore struct {
 	storer.TransactionalStore
 	refuse  atomic.Bool
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -88,9 +88,9 @@
 // attainable returns the capacity, in millicores, that a pool could gain by moves, and the mean
 // time until it arrives: of VMs with a pending order that will be in it, VMs of spare pools, and
 // idle VMs of other pools. A new owner that does not know the orders of the earlier one orders none
-// before Config.VMOrderDelay has passed, and then at the rate that the platform accepts. After that, VMs count as if they were there: most work that
-// can reach them is on time, and at the start of a burst a plan that waits for them leaves work out
-// that they serve.
+// before Config.VMOrderDelay has passed, and then at the rate that the platform accepts. Otherwise
+// VMs count as if they were there: most work that can reach them is on time, and at the start of a
+// burst a plan that waits for them leaves work out that they serve.
 func (e *Engine) attainable(p *pool, now time.Duration) (millicores int64, in time.Duration) {
 	var ordered, others int64
 	count := 0
