--- a/pkg/partitioner/choose.go
+++ b/pkg/partitioner/choose.go
@@ -1,10 +1,6 @@
 package partitioner
 
-import (
-	"math"
-	"slices"
-	"time"
-)
+import "time"
 
 // Candidate is a cell that may take a job, as its owner last reported it.
 type Candidate struct {
@@ -22,19 +18,13 @@
 	// dataAdvantage is the backlog by which a cell with the data of a job may exceed the
 	// others and still be chosen: elsewhere the tasks take a multiple of their time.
 	dataAdvantage = time.Second
-	// maxLag is by how much the backlog of a cell may exceed the shortest one. From it on, owners
-	// give waiting jobs to other cells.
-	maxLag = time.Second
 )
 
 // Choose picks the cell for a job, or returns -1 without candidates. It draws two cells in
 // proportion to their capacity and takes the one with the shorter backlog: the daemons decide
 // independently on reports that are some hundred milliseconds old, so that the best cell of
-// the report would be flooded if all of them took it. Cells that are far behind the one with the
-// shortest backlog are left out. Load: a burst while the owner of a cell was lost, whose pool gains
-// no VMs. draws are two random numbers in [0, 1).
+// the report would be flooded if all of them took it. draws are two random numbers in [0, 1).
 func Choose(candidates []Candidate, draws [2]float64) int {
-	candidates = withoutLaggards(candidates)
 	var total int64
 	for _, c := range candidates {
 		total += c.Millicores
@@ -59,23 +49,6 @@
 	return best
 }
 
-// withoutLaggards returns the candidates without the capacity of those that are far behind.
-func withoutLaggards(candidates []Candidate) []Candidate {
-	shortest := time.Duration(math.MaxInt64)
-	for _, c := range candidates {
-		if c.Millicores > 0 {
-			shortest = min(shortest, c.Backlog)
-		}
-	}
-	kept := slices.Clone(candidates)
-	for i := range kept {
-		if kept[i].Backlog-maxLag > shortest {
-			kept[i].Millicores = 0
-		}
-	}
-	return kept
-}
-
 // draw returns the candidate in whose part of the summed capacities n lies.
 func draw(candidates []Candidate, n int64) int {
 	for i, c := range candidates {
