--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -2,8 +2,8 @@
 # Plays the case in claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
 # not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-if [ ! -x target/comfreyford ] || [ ! -x target/review-3/rig ]; then
+if [ ! -x target/comfreyford ] || [ ! -x target/review-rig ]; then
   echo "build with the deploy file and review/build-3.sh first" >&2
   exit 2
 fi
-exec target/review-3/rig overdue review/11/record.txt
+exec target/review-rig overdue review/11/record.txt
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # stand-ins of the platform, of workers and of clients, which are one program.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -buildvcs=false -o target/review-3/rig ./review/rig
+go build -buildvcs=false -o target/review-rig ./review/rig
