orchestrator: accepted work that has not begun has no state for each task

Callers saw: a job that was accepted with 200 starts nothing, and neither does any other job.

Cause: a job got a state for each task of each occurrence that was due, when its document was loaded, some 7 KB for an occurrence of 16 tasks. Limits apply to one occurrence; nothing bounded how many were due together, or how many jobs of 4,000 tasks were accepted. The successor loaded the same documents.

Change: a task gets its state at its first start, or when a record or a list names it. The steps keep their tasks without a state as a number. A scheduled job opens occurrences as they begin, at most 128 waiting steps ahead, and 2,048 for all jobs, the earliest due ones first; one occurrence of each job is open in any case, so that the order among jobs is that of the sequencer as before. An occurrence that a record or a list names is opened alone. Due times are limited to a year from now, since 1970 and intervals near the limits of an integer overflowed sums of durations. What an earlier owner may have started counts against the limit of the team during a takeover, with a state or without.

Why it works: what an owner holds for work that has not begun depends on the number of jobs and their steps, no longer on their tasks or occurrences.

--- a/pkg/jobkeeper/job.go
+++ b/pkg/jobkeeper/job.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"sort"
 
 	"github.com/zeebo/errs"
 )
@@ -147,9 +148,27 @@
 	if !j.Scheduled() {
 		return 0
 	}
-	return j.FirstRunMS + int64(occurrence)*j.IntervalMS
+	first := min(max(j.FirstRunMS, -farMS), farMS)
+	if occurrence > 0 && j.IntervalMS > (farMS-first)/int64(occurrence) {
+		return farMS
+	}
+	return first + int64(occurrence)*j.IntervalMS
+}
+
+// DueOccurrences returns the number of occurrences that are due at a Unix time in milliseconds. All
+// of a job without a schedule are.
+func (j *Job) DueOccurrences(wallMS int64) int {
+	n := j.Occurrences()
+	if !j.Scheduled() {
+		return n
+	}
+	return sort.Search(n, func(occurrence int) bool { return j.DueMS(occurrence) > wallMS })
 }
 
+// farMS bounds the due times of occurrences, in milliseconds from 1970: callers may state any time
+// and interval, whose sums may exceed the range of an integer.
+const farMS = 1 << 60
+
 // LongRunning reports whether the job runs until it is cancelled.
 func (j *Job) LongRunning() bool {
 	for _, s := range j.Steps {
--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -151,12 +151,12 @@
 	if !j.started && !j.doc.Scheduled() {
 		p.demand.waitingJobs++
 	}
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, s := range o.steps {
-			if s.done == len(s.tasks) || s.step.BestEffort {
+			if s.allDone() || s.step.BestEffort {
 				continue
 			}
-			requested := int64(len(s.tasks)-s.done) * s.step.Needs.CPUMillis
+			requested := int64(s.step.Count-s.done) * s.step.Needs.CPUMillis
 			if s.step.LongRunning {
 				p.demand.longRunningMillicores += requested
 			}
@@ -169,9 +169,9 @@
 				}
 				continue
 			}
-			tasks := s.waitingTasks(now)
-			p.demand.addUnschedulable(s.step, s.countLongWaiting(tasks, now))
-			waiting := int64(len(tasks)) * s.step.Needs.CPUMillis
+			tasks, longWaiting := s.countWaiting(now)
+			p.demand.addUnschedulable(s.step, longWaiting)
+			waiting := int64(tasks) * s.step.Needs.CPUMillis
 			switch {
 			case s.step.Label != "":
 				p.demand.labelledMillicores[s.step.Label] += waiting
@@ -188,16 +188,25 @@
 // free capacity of the pool adds up to what the task needs.
 const unschedulableAfter = 400 * time.Millisecond
 
-// countLongWaiting returns how many of the step's waiting tasks have waited longer than
-// unschedulableAfter.
-func (s *stepState) countLongWaiting(waiting []*task, now time.Duration) int {
-	n := 0
-	for _, t := range waiting {
+// countWaiting returns how many tasks of the step could start, and how many of them have waited
+// longer than unschedulableAfter.
+func (s *stepState) countWaiting(now time.Duration) (all, long int) {
+	for _, t := range s.tasks {
+		if !t.startable(now) {
+			continue
+		}
+		all++
 		if now-max(t.lastEnd, s.occurrence.due) > unschedulableAfter {
-			n++
+			long++
 		}
 	}
-	return n
+	if s.freshUncertain {
+		return all, long
+	}
+	if now-s.occurrence.due > unschedulableAfter {
+		long += s.fresh()
+	}
+	return all + s.fresh(), long
 }
 
 // QueueState is the state of a queue that the owner publishes to the other daemons.
--- a/pkg/orchestrator/duration.go
+++ b/pkg/orchestrator/duration.go
@@ -280,7 +280,7 @@
 		learnedAt: s.forecast.learnedAt,
 		totalMS:   s.longestDoneMS,
 	}
-	if s.done == len(s.tasks) {
+	if s.allDone() {
 		if f.totalMS == 0 {
 			f.totalMS = f.longestMS
 		}
@@ -317,8 +317,13 @@
 			unknown++
 		}
 	}
+	if fresh := s.fresh(); fresh > 0 {
+		sum += float64(fresh) * f.meanMS
+		shortest = 0
+		unknown += fresh
+	}
 	if unknown > 0 {
-		longest := f.longestOf(unknown, len(s.tasks))
+		longest := f.longestOf(unknown, s.step.Count)
 		f.leftMS = max(f.leftMS, longest-shortest)
 		f.totalMS = max(f.totalMS, longest)
 	}
@@ -360,7 +365,7 @@
 
 // current returns the first occurrence that is not done, or nil if none is open.
 func (j *job) current() *occurrence {
-	return j.occurrences[j.finished]
+	return j.occurrence(j.finished)
 }
 
 // chain returns the critical path that is expected of the job's current occurrence. If none is
--- a/pkg/orchestrator/evacuation.go
+++ b/pkg/orchestrator/evacuation.go
@@ -177,7 +177,7 @@
 	if s.step.HasMaxUnavailable {
 		return e.mayInterrupt(a, now)
 	}
-	return !slices.ContainsFunc(s.tasks, func(t *task) bool { return t != a.task && !t.atFullCapacity(now) })
+	return s.fresh() == 0 && !slices.ContainsFunc(s.tasks, func(t *task) bool { return t != a.task && !t.atFullCapacity(now) })
 }
 
 // takeRoom takes the room that the task of a run needs on another target from the views, and
--- a/pkg/orchestrator/gang.go
+++ b/pkg/orchestrator/gang.go
@@ -22,8 +22,8 @@
 // that steps later in the order leave their room free. That is done for one gang of a pool at a
 // time, and only if it fits on the targets that the pool has.
 func (e *Engine) startGang(p *pool, g group, views []packer.Target, now time.Duration) bool {
-	waiting := g.step.waitingTasks(now)
-	if len(waiting) < len(g.step.tasks) || e.unansweredStarts > 0 && e.unansweredStarts+len(waiting) > maxUnanswered {
+	waiting, _ := g.step.countWaiting(now)
+	if waiting < g.step.step.Count || e.unansweredStarts > 0 && e.unansweredStarts+waiting > maxUnanswered {
 		return true
 	}
 	if !e.gangWithinLimit(g.step) {
@@ -39,8 +39,8 @@
 		return false
 	}
 	run := e.nextRun(g.step.job)
-	for n, t := range waiting {
-		e.launch(t, p.targets[chosen[n]], run, now)
+	for n := range waiting {
+		e.launch(g.step.task(n), p.targets[chosen[n]], run, now)
 	}
 	return true
 }
@@ -49,8 +49,8 @@
 // returns the indexes of the chosen targets, and whether all tasks were placed.
 func (e *Engine) placeGang(s *stepState, views []packer.Target, now time.Duration) (chosen []int, all bool) {
 	rack := ""
-	for _, t := range s.tasks {
-		i := e.choose(s, t, rack, views, now)
+	for n := range s.step.Count {
+		i := e.choose(s, s.peek(n), rack, views, now)
 		if i < 0 {
 			return chosen, false
 		}
@@ -145,7 +145,7 @@
 	if e.conf.Teams[team].Excluded {
 		return false
 	}
-	return fitsLimit(e.teamUsage(team).Plus(s.step.Needs.Times(int64(len(s.tasks)-1))), e.conf.Teams[team].Limit)
+	return fitsLimit(e.teamUsage(team).Plus(s.step.Needs.Times(int64(s.step.Count-1))), e.conf.Teams[team].Limit)
 }
 
 func (s *stepState) hasRuns() bool {
--- a/pkg/orchestrator/job.go
+++ b/pkg/orchestrator/job.go
@@ -12,49 +12,57 @@
 
 // job is an accepted job. It is kept until the retention after its end has passed.
 type job struct {
-	doc            *jobkeeper.Job
-	created        storer.Version // revision of its document
-	arrival        time.Duration  // when it was accepted, on the engine's clock
-	overRate       bool           // beyond the job rate that is expected of its team
-	excess         float64        // sequencer.Work.Excess, by the last plan
-	entitled       bool           // sequencer.Work.Entitled, by the last plan
-	planned        bool           // expected to end on time
-	reachable      bool           // expected to if VMs that are coming were there
-	cancelled      bool
-	state          jobkeeper.State
-	reason         string
-	started        bool
-	waited         time.Duration // sum over the steps of the time from ready to first start
-	endedAt        time.Duration
-	endedMS        int64
-	finished       int // all occurrences below this number are done
-	occurrences    map[int]*occurrence
-	opened         int           // all occurrences below this number were created
-	lastChain      time.Duration // critical path of the occurrence that was done last
-	lastFirstChain time.Duration // that was expected of it first
-	version        storer.Version
-	docRemoved     bool
-	loadedAt       time.Duration
-	transferring   bool // a transaction that gives it to another cell is under way
-	crashes        int  // crashes that this owner counted against its tasks
-	storedCrashes  int  // how many of them are in the store
+	doc          *jobkeeper.Job
+	created      storer.Version // revision of its document
+	arrival      time.Duration  // when it was accepted, on the engine's clock
+	overRate     bool           // beyond the job rate that is expected of its team
+	excess       float64        // sequencer.Work.Excess, by the last plan
+	entitled     bool           // sequencer.Work.Entitled, by the last plan
+	planned      bool           // expected to end on time
+	reachable    bool           // expected to if VMs that are coming were there
+	cancelled    bool
+	state        jobkeeper.State
+	reason       string
+	started      bool
+	waited       time.Duration // sum over the steps of the time from ready to first start
+	endedAt      time.Duration
+	endedMS      int64
+	finished     int           // all occurrences below this number are done
+	open         []*occurrence // those with a state, by number
+	opened       int           // all occurrences below this number were opened
+	due          int           // occurrences that are due
+	waitingSteps int           // steps of open occurrences that have not begun
+	// unopenedUncertain is true if occurrences without a state may be running on targets that were
+	// not listed yet.
+	unopenedUncertain bool
+	lastChain         time.Duration // critical path of the occurrence that was done last
+	lastFirstChain    time.Duration // that was expected of it first
+	version           storer.Version
+	docRemoved        bool
+	loadedAt          time.Duration
+	transferring      bool // a transaction that gives it to another cell is under way
+	crashes           int  // crashes that this owner counted against its tasks
+	storedCrashes     int  // how many of them are in the store
 }
 
 // stepState is a step of an occurrence.
 type stepState struct {
-	job           *job
-	occurrence    *occurrence
-	index         int
-	step          *jobkeeper.Step
-	tasks         []*task
-	done          int
-	forecast      forecast
-	longestDoneMS float64 // duration of its longest run that was done
-	incomplete    bool    // longestDoneMS leaves runs out whose start is not known
-	speed         stepSpeed
-	kind          attributor.Kind
-	advice        advice
-	started       bool
+	job        *job
+	occurrence *occurrence
+	index      int
+	step       *jobkeeper.Step
+	tasks      []*task // the first ones; the others have not begun and have no state
+	done       int
+	// freshUncertain is true if tasks without a state may be running on targets that were not
+	// listed yet.
+	freshUncertain bool
+	forecast       forecast
+	longestDoneMS  float64 // duration of its longest run that was done
+	incomplete     bool    // longestDoneMS leaves runs out whose start is not known
+	speed          stepSpeed
+	kind           attributor.Kind
+	advice         advice
+	started        bool
 	// waitLoggedAt is when a long wait of the step was last logged.
 	waitLoggedAt time.Duration
 }
@@ -173,7 +181,7 @@
 // ready reports whether all steps before this one are done.
 func (s *stepState) ready() bool {
 	for _, after := range s.step.After {
-		if s.occurrence.steps[after].done < len(s.occurrence.steps[after].tasks) {
+		if !s.occurrence.steps[after].allDone() {
 			return false
 		}
 	}
@@ -189,13 +197,12 @@
 		return
 	}
 	j := &job{
-		doc:         doc,
-		created:     created,
-		arrival:     now,
-		loadedAt:    now,
-		state:       jobkeeper.StateQueued,
-		occurrences: map[int]*occurrence{},
-		version:     version,
+		doc:      doc,
+		created:  created,
+		arrival:  now,
+		loadedAt: now,
+		state:    jobkeeper.StateQueued,
+		version:  version,
 	}
 	if age := time.Duration(nowMS-doc.AcceptedMS) * time.Millisecond; age > 0 && age < maxJobAge {
 		j.arrival -= age
@@ -214,7 +221,7 @@
 	e.active = append(e.active, j)
 	j.overRate = e.exceedsRate(doc, now)
 	j.planned, j.reachable = true, true
-	e.openOccurrences(now, nowMS)
+	e.openFirst(j, now, nowMS)
 	e.recordArrival(j, created > e.cfg.Fence, now)
 	if progress != nil {
 		e.applyTaskRecords(j, progress.Tasks, now, nowMS)
@@ -233,7 +240,7 @@
 	j.endedAt = now
 	j.cancelled = j.state == jobkeeper.StateCancelled
 	e.dirty[j.doc.ID] = true
-	j.openDue(e.cfg.EarlyStart, now, nowMS)
+	e.openFirst(j, now, nowMS)
 	e.applyTaskRecords(j, progress.Tasks, now, nowMS)
 	if j.created <= e.cfg.Fence && e.takingOver {
 		j.markUncertain()
@@ -244,8 +251,11 @@
 
 // mayRun reports whether something of the job runs or may be running.
 func (j *job) mayRun() bool {
+	if j.uncertain() {
+		return true
+	}
 	for t := range j.tasks() {
-		if t.uncertain || len(t.attempts) > 0 {
+		if len(t.attempts) > 0 {
 			return true
 		}
 	}
@@ -312,18 +322,16 @@
 	e.cfg.Logger.Info("job ended", "job", j.doc.ID, "queue", j.doc.Queue, "state", state, "reason", reason,
 		"took_ms", (now - j.arrival).Milliseconds(), "objective_ms", objective.Milliseconds(), "waited_ms", j.waited.Milliseconds(),
 		"estimated_chain_ms", j.doc.CriticalPathMS(), "expected_chain_ms", first.Milliseconds(), "chain_ms", chain.Milliseconds(), "probe", j.doc.Probe)
-	for t := range j.tasks() {
-		t.uncertain = false
-	}
+	j.clearUncertain()
 	for a := range j.attempts() {
 		e.stop(a, now, string(state))
 	}
 }
 
-// tasks returns the tasks of all open occurrences.
+// tasks returns the tasks of all open occurrences that have a state.
 func (j *job) tasks() iter.Seq[*task] {
 	return func(yield func(*task) bool) {
-		for _, o := range j.occurrences {
+		for _, o := range j.open {
 			for _, s := range o.steps {
 				for _, t := range s.tasks {
 					if !yield(t) {
@@ -351,7 +359,7 @@
 // applyTaskRecords restores the done tasks and failed runs of a progress record.
 func (e *Engine) applyTaskRecords(j *job, records []jobkeeper.TaskRecord, now time.Duration, nowMS int64) {
 	for _, r := range records {
-		e.openThrough(j, r.Occurrence, now, nowMS)
+		e.openOccurrence(j, r.Occurrence, now, nowMS)
 		t := j.task(jobkeeper.TaskKey{
 			Occurrence: r.Occurrence,
 			Step:       r.Step,
@@ -373,11 +381,11 @@
 
 // task returns the task with the key, or nil.
 func (j *job) task(key jobkeeper.TaskKey) *task {
-	o := j.occurrences[key.Occurrence]
-	if o == nil || key.Step >= len(o.steps) || key.Index >= len(o.steps[key.Step].tasks) {
+	o := j.occurrence(key.Occurrence)
+	if o == nil || key.Step >= len(o.steps) || key.Index >= o.steps[key.Step].step.Count {
 		return nil
 	}
-	return o.steps[key.Step].tasks[key.Index]
+	return o.steps[key.Step].task(key.Index)
 }
 
 // objective returns the time within which a job should end.
--- a/pkg/orchestrator/listing.go
+++ b/pkg/orchestrator/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
@@ -99,7 +100,7 @@
 	j := e.jobs[r.Task.Job]
 	var found *task
 	if j != nil && !j.docRemoved {
-		e.openThrough(j, r.Task.Occurrence, now, nowMS)
+		e.openOccurrence(j, r.Task.Occurrence, now, nowMS)
 		found = j.task(r.Task.TaskKey)
 	}
 	switch {
@@ -192,7 +193,7 @@
 	if j == nil || j.state.Ended() {
 		return
 	}
-	e.openThrough(j, end.Task.Occurrence, now, nowMS)
+	e.openOccurrence(j, end.Task.Occurrence, now, nowMS)
 	found := j.task(end.Task.TaskKey)
 	if found == nil || found.done {
 		return
@@ -283,7 +284,7 @@
 	}
 	s, j := t.step, t.step.job
 	s.done++
-	if s.done < len(s.tasks) {
+	if !s.allDone() {
 		return
 	}
 	e.learnStep(s)
@@ -306,13 +307,13 @@
 // when none is left.
 func (e *Engine) closeOccurrences(j *job, now time.Duration, nowMS int64) {
 	for {
-		o := j.occurrences[j.finished]
+		o := j.current()
 		if o == nil || o.done < len(o.steps) {
 			break
 		}
 		e.predict(o, now)
 		j.lastChain, j.lastFirstChain = o.chain, o.firstChain
-		delete(j.occurrences, j.finished)
+		j.open = slices.Delete(j.open, 0, 1) // the open ones are sorted
 		j.finished++
 	}
 	if j.finished >= j.doc.Occurrences() && !j.state.Ended() {
--- a/pkg/orchestrator/plan.go
+++ b/pkg/orchestrator/plan.go
@@ -26,7 +26,7 @@
 		if j.doc.LongRunning() {
 			continue
 		}
-		for _, o := range j.occurrences {
+		for _, o := range j.open {
 			e.predict(o, now)
 		}
 		name := e.poolOf(j)
@@ -137,7 +137,7 @@
 		w.Due = first.due + e.objectiveOf(first) - now
 		w.Chain = first.left()
 	}
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, s := range o.steps {
 			w.CoreMS += s.forecast.coreMS
 		}
--- a/pkg/orchestrator/progress.go
+++ b/pkg/orchestrator/progress.go
@@ -117,16 +117,12 @@
 	if j.state.Ended() && !j.mayRun() {
 		return p
 	}
-	for number := j.finished; number < j.opened; number++ {
-		o := j.occurrences[number]
-		if o == nil {
-			continue
-		}
+	for _, o := range j.open {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
 				if t.done || len(t.failedRuns) > 0 || t.crashed.count() > 0 {
 					p.Tasks = append(p.Tasks, jobkeeper.TaskRecord{
-						Occurrence:        number,
+						Occurrence:        o.number,
 						Step:              s.index,
 						Index:             t.index,
 						Done:              t.done,
@@ -162,7 +158,7 @@
 	j.storedCrashes = max(j.storedCrashes, c.crashes)
 	if c.RemoveDocument {
 		j.docRemoved = true
-		j.occurrences = nil
+		j.open = nil
 	}
 }
 
@@ -275,9 +271,7 @@
 	e.pruneRoster()
 	e.cfg.Logger.Info("takeover complete", "after_ms", (now - e.cfg.AcquiredAt).Milliseconds(), "targets", len(e.targets), "not_listed", len(missing), "jobs", len(e.jobs))
 	for _, j := range slices.Concat(e.active, e.stopping) {
-		for t := range j.tasks() {
-			t.uncertain = false
-		}
+		j.clearUncertain()
 	}
 	for _, j := range e.stopping {
 		e.dirty[j.doc.ID] = true
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -52,9 +52,8 @@
 			continue
 		}
 		name := e.poolOf(j)
-		for number := j.finished; number < j.opened; number++ {
-			o := j.occurrences[number]
-			if o == nil || o.due-e.cfg.EarlyStart/2 > now {
+		for _, o := range j.open {
+			if o.due-e.cfg.EarlyStart/2 > now {
 				continue
 			}
 			for _, s := range o.steps {
@@ -77,9 +76,12 @@
 
 // hasWaiting reports whether a task of the step could start.
 func (s *stepState) hasWaiting(now time.Duration) bool {
-	if s.done == len(s.tasks) {
+	if s.allDone() {
 		return false
 	}
+	if s.fresh() > 0 && !s.freshUncertain {
+		return true
+	}
 	for _, t := range s.tasks {
 		if t.startable(now) {
 			return true
@@ -92,19 +94,6 @@
 	return t.waiting() && !t.uncertain && now >= t.notBefore
 }
 
-func (s *stepState) waitingTasks(now time.Duration) []*task {
-	if s.done == len(s.tasks) {
-		return nil
-	}
-	var waiting []*task
-	for _, t := range s.tasks {
-		if t.startable(now) {
-			waiting = append(waiting, t)
-		}
-	}
-	return waiting
-}
-
 // candidate describes a step to the sequencer.
 func (e *Engine) candidate(s *stepState, now time.Duration) sequencer.Candidate {
 	j := s.job
@@ -227,9 +216,10 @@
 // startTasks places the waiting tasks of a step one by one. It returns false if there was no
 // room for one of them, except when that task avoids a target that failed it.
 func (e *Engine) startTasks(p *pool, g group, views []packer.Target, now time.Duration) bool {
-	for _, t := range g.step.waitingTasks(now) {
-		if t.trial() > 0 {
-			continue // startTrials places it
+	for n := range g.step.step.Count {
+		t := g.step.peek(n)
+		if !t.startable(now) || t.trial() > 0 {
+			continue // in the case of a trial, startTrials places it
 		}
 		if e.unansweredStarts >= maxUnanswered {
 			return true
@@ -244,6 +234,7 @@
 			return t.avoid != ""
 		}
 		e.reportApart(t, p, views, i, rack, now)
+		t = g.step.task(n)
 		e.launch(t, p.targets[i], e.nextRun(g.step.job), now)
 		place(&views[i], g.step.step)
 		views[i].Interference = p.targets[i].expectedInterference(g.step, e.disturbances(g.step.kind))
@@ -364,8 +355,8 @@
 func (e *Engine) measureUncertain() map[string]jobkeeper.Resources {
 	usage := map[string]jobkeeper.Resources{}
 	for _, j := range slices.Concat(e.active, e.stopping) {
-		var sum jobkeeper.Resources
-		for _, o := range j.occurrences {
+		sum := j.unopenedUsage()
+		for _, o := range j.open {
 			for _, s := range o.steps {
 				if !s.ready() {
 					continue
@@ -375,6 +366,9 @@
 						sum = sum.Plus(s.step.Needs)
 					}
 				}
+				if s.freshUncertain {
+					sum = sum.Plus(s.step.Needs.Times(int64(s.fresh())))
+				}
 			}
 		}
 		usage[j.doc.Team] = usage[j.doc.Team].Plus(sum)
--- a/pkg/orchestrator/share.go
+++ b/pkg/orchestrator/share.go
@@ -30,9 +30,9 @@
 // runningMillicores returns what the runs of the job use.
 func (j *job) runningMillicores() int64 {
 	var sum int64
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, s := range o.steps {
-			if s.done == len(s.tasks) {
+			if s.allDone() {
 				continue
 			}
 			for _, t := range s.tasks {
--- a/pkg/orchestrator/transfer.go
+++ b/pkg/orchestrator/transfer.go
@@ -87,16 +87,19 @@
 // idle reports whether the job has a task that could start, and none that runs or may be
 // running.
 func (j *job) idle() bool {
+	if j.uncertain() {
+		return false
+	}
 	startable := false
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, s := range o.steps {
 			ready := s.ready()
 			for _, t := range s.tasks {
-				if len(t.attempts) > 0 || t.uncertain {
+				if len(t.attempts) > 0 {
 					return false
 				}
-				startable = startable || ready && !t.done
 			}
+			startable = startable || ready && !s.allDone()
 		}
 	}
 	return startable
@@ -105,9 +108,9 @@
 // readySince returns since when the job has had tasks that could start.
 func (j *job) readySince(now time.Duration) time.Duration {
 	since := now
-	for _, o := range j.occurrences {
+	for _, o := range j.open {
 		for _, s := range o.steps {
-			if s.done < len(s.tasks) && s.ready() {
+			if !s.allDone() && s.ready() {
 				since = min(since, s.readyAt(now))
 			}
 		}
--- a/pkg/orchestrator/trial.go
+++ b/pkg/orchestrator/trial.go
@@ -17,6 +17,17 @@
 	tasks []*task
 }
 
+// startableTasks returns the tasks of the step that have a state and could start.
+func (s *stepState) startableTasks(now time.Duration) []*task {
+	var startable []*task
+	for _, t := range s.tasks {
+		if t.startable(now) {
+			startable = append(startable, t)
+		}
+	}
+	return startable
+}
+
 // trialCandidates returns the waiting tasks that have to start on trial. The likeliest causes of
 // crashes come first, because the crashes that they explain no longer count against the others.
 func trialCandidates(groups []group, now time.Duration) []trialCandidate {
@@ -25,15 +36,14 @@
 		if !g.step.suspected() {
 			continue
 		}
-		waiting := g.step.waitingTasks(now)
 		if g.step.step.Gang {
 			candidates = append(candidates, trialCandidate{
 				group: g,
-				tasks: waiting,
+				tasks: g.step.startableTasks(now),
 			})
 			continue
 		}
-		for _, t := range waiting {
+		for _, t := range g.step.startableTasks(now) {
 			if t.trial() > 0 {
 				candidates = append(candidates, trialCandidate{
 					group: g,
--- a/pkg/orchestrator/vm.go
+++ b/pkg/orchestrator/vm.go
@@ -229,7 +229,7 @@
 	if !s.step.HasMaxUnavailable {
 		return true
 	}
-	unavailable := 0
+	unavailable := s.fresh()
 	for _, t := range s.tasks {
 		if t != a.task && !t.atFullCapacity(now) {
 			unavailable++
