manager, platform: changes that exceed an answer are read afresh

With a large configuration under op/ calls get no answer.

Cause: a watch whose changes exceed 8 MiB fails, and was repeated from the same revision until the store dropped its history.

Change: an answer that is too large or can't be decoded is storer.ErrUnusable, and a watch that gets it reads the prefix again, as after lost history. It no longer counts as a store that turns the daemon away. Prefixes are read page by page (ScanPages, in place of Scan in TransactionalStore; Scan is a function): the time limit is for each page, since 100 MB of other writers' entries can't be read within 2.8 s, and values above 64 KiB among the registrations are not kept. The owner adopts the records of ended jobs page by page as well. TestLargeEntriesOfAPrefixAreNotHeld: 200 MB without the limit of the values.

Why it works: reading the prefix again returns each key once, in pages that the store bounds, whatever was written since the last read.

Fakes of the store in tests implement ScanPages in place of Scan, with the same faults.

--- a/internal/manager/founder.go
+++ b/internal/manager/founder.go
@@ -125,20 +125,20 @@
 	}
 	before := -1
 	for {
-		listing, err := m.cfg.Store.Scan(call, m.cfg.Schema.TargetPrefix())
-		if err != nil {
-			return nil, err
-		}
 		var members []partitioner.Member
-		for _, item := range listing.Items {
-			r, err := readRegistration(m.cfg, item)
-			if err != nil {
-				continue // the owner of a cell logs it
+		if _, err := m.cfg.Store.ScanPages(call, m.cfg.Schema.TargetPrefix(), func(items []storer.Item) {
+			for _, item := range items {
+				r, err := readRegistration(m.cfg, item)
+				if err != nil {
+					continue // the owner of a cell logs it
+				}
+				members = append(members, partitioner.Member{
+					Zone: r.Zone,
+					Rack: r.Rack,
+				})
 			}
-			members = append(members, partitioner.Member{
-				Zone: r.Zone,
-				Rack: r.Rack,
-			})
+		}); err != nil {
+			return nil, err
 		}
 		if len(members) == before {
 			return members, nil
--- a/internal/manager/harness_test.go
+++ b/internal/manager/harness_test.go
@@ -155,11 +155,11 @@
 	return version, err
 }
 
-func (s *faultyStore) Scan(ctx context.Context, prefix string) (storer.Listing, error) {
+func (s *faultyStore) ScanPages(ctx context.Context, prefix string, page func([]storer.Item)) (storer.Version, error) {
 	if before, _ := s.faults("scan "+prefix, storer.Transaction{}); before != nil {
-		return storer.Listing{}, before
+		return 0, before
 	}
-	return s.Memory.Scan(ctx, prefix)
+	return s.Memory.ScanPages(ctx, prefix, page)
 }
 
 func (s *faultyStore) WatchPrefix(ctx context.Context, prefix string, after storer.Version, wait time.Duration) (storer.Changes, error) {
--- a/internal/manager/intake.go
+++ b/internal/manager/intake.go
@@ -26,7 +26,7 @@
 func (o *owner) scan(ctx context.Context, prefix string) ([]storer.Item, error) {
 	for {
 		call, cancel := context.WithTimeout(ctx, loadTimeout)
-		listing, err := o.cfg.Store.Scan(call, prefix)
+		listing, err := storer.Scan(call, o.cfg.Store, prefix)
 		cancel()
 		if err == nil {
 			return listing.Items, nil
@@ -208,10 +208,17 @@
 // adoptEndedJobs passes the records of ended jobs to the engine, which deletes them when
 // their retention has passed.
 func (o *owner) adoptEndedJobs(ctx context.Context) {
-	items, err := o.scan(ctx, jobkeeper.ProgressPrefix)
-	if err != nil {
-		return // ctx has ended
+	for {
+		_, err := scanPages(ctx, o.cfg.Store, jobkeeper.ProgressPrefix, o.adoptEnded)
+		if err == nil || !sleeper.Sleep(ctx, watchRetryDelay) {
+			return
+		}
+		o.logger.Warn("reading the records of ended jobs failed, trying again", "error", err)
 	}
+}
+
+// adoptEnded passes those of the records that are of ended jobs of the cell to the engine.
+func (o *owner) adoptEnded(items []storer.Item) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now, wall := o.cfg.Clock(), o.cfg.UnixMS()
--- a/internal/manager/metrics.go
+++ b/internal/manager/metrics.go
@@ -163,10 +163,10 @@
 	return s.TransactionalStore.Read(ctx, key)
 }
 
-// Scan implements storer.TransactionalStore.
-func (s *measuredStore) Scan(ctx context.Context, prefix string) (l storer.Listing, err error) {
+// ScanPages implements storer.TransactionalStore.
+func (s *measuredStore) ScanPages(ctx context.Context, prefix string, page func(items []storer.Item)) (v storer.Version, err error) {
 	defer s.measure("scan", time.Now(), &err)
-	return s.TransactionalStore.Scan(ctx, prefix)
+	return s.TransactionalStore.ScanPages(ctx, prefix, page)
 }
 
 // WatchPrefix implements storer.TransactionalStore.
@@ -201,6 +201,8 @@
 		return "outcome_unknown"
 	case errors.Is(*err, storer.ErrHistoryLost):
 		return "history_lost"
+	case errors.Is(*err, storer.ErrUnusable):
+		return "unusable"
 	}
 	return "unavailable"
 }
--- a/internal/manager/neighbor.go
+++ b/internal/manager/neighbor.go
@@ -159,7 +159,7 @@
 	var neighbors []forwarder.Neighbor
 	published := false
 	for _, zone := range n.zonesToRead() {
-		listing, err := n.cfg.Store.Scan(call, neighborPrefix+zone+"/")
+		listing, err := storer.Scan(call, n.cfg.Store, neighborPrefix+zone+"/")
 		if err != nil {
 			return err
 		}
@@ -363,10 +363,10 @@
 	return s.TransactionalStore.Read(ctx, key)
 }
 
-// Scan implements storer.TransactionalStore.
-func (s *observedStore) Scan(ctx context.Context, prefix string) (l storer.Listing, err error) {
+// ScanPages implements storer.TransactionalStore.
+func (s *observedStore) ScanPages(ctx context.Context, prefix string, page func(items []storer.Item)) (v storer.Version, err error) {
 	defer s.observe(ctx, s.clock(), &err)
-	return s.TransactionalStore.Scan(ctx, prefix)
+	return s.TransactionalStore.ScanPages(ctx, prefix, page)
 }
 
 // WatchPrefix implements storer.TransactionalStore.
--- a/internal/manager/neighbor_test.go
+++ b/internal/manager/neighbor_test.go
@@ -80,11 +80,11 @@
 	return s.TransactionalStore.Read(ctx, key)
 }
 
-func (s *refusingStore) Scan(ctx context.Context, prefix string) (storer.Listing, error) {
+func (s *refusingStore) ScanPages(ctx context.Context, prefix string, page func([]storer.Item)) (storer.Version, error) {
 	if s.refuse.Load() {
-		return storer.Listing{}, storer.ErrUnavailable
+		return 0, storer.ErrUnavailable
 	}
-	return s.TransactionalStore.Scan(ctx, prefix)
+	return s.TransactionalStore.ScanPages(ctx, prefix, page)
 }
 
 func (s *refusingStore) WatchPrefix(ctx context.Context, prefix string, after storer.Version, wait time.Duration) (storer.Changes, error) {
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -26,6 +26,9 @@
 	// targetsPause separates two reads of registrations, which change often because of
 	// heartbeats.
 	targetsPause = 200 * time.Millisecond
+	// maxRegistrationBytes bounds the registration of a target, which has some hundred bytes. Another
+	// writer may leave entries of any size among them.
+	maxRegistrationBytes = 64 << 10
 	// maxKnowledgeAge is the age of the known jobs, targets and configuration from which no
 	// task is started: meanwhile jobs may have been cancelled and targets may be draining.
 	maxKnowledgeAge = 1700 * time.Millisecond
@@ -103,6 +106,8 @@
 		Wait:   watchWait,
 		Pause:  targetsPause,
 		Apply:  o.applyRegistrations,
+
+		MaxValueBytes: maxRegistrationBytes,
 	})
 	return o
 }
--- a/internal/manager/prefix_watcher.go
+++ b/internal/manager/prefix_watcher.go
@@ -18,6 +18,8 @@
 	// watchRetryDelay separates attempts after a failed call, and a scan from the next one if the
 	// store loses its history at once.
 	watchRetryDelay = 150 * time.Millisecond
+	// pageTimeout bounds the reading of one page of a prefix.
+	pageTimeout = 4 * storeTimeout
 )
 
 type watcherConfig struct {
@@ -28,6 +30,9 @@
 	Wait   time.Duration
 	// Pause separates two waits, so that frequent changes cause few calls.
 	Pause time.Duration
+	// MaxValueBytes is the largest value that an item of the prefix can have. Larger ones, which
+	// another writer may leave, are passed on without their values. Zero means no limit.
+	MaxValueBytes int
 	// Apply processes all items after a scan (full is true), or the changes since the last
 	// call.
 	Apply func(events []storer.Event, full bool)
@@ -75,8 +80,8 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if errors.Is(err, storer.ErrHistoryLost) {
-			w.cfg.Logger.Info("store no longer has the history of changes, scanning again", "prefix", w.cfg.Prefix)
+		if cannotFollow(err) {
+			w.cfg.Logger.Info("changes in the store can't be followed, scanning again", "prefix", w.cfg.Prefix, "error", err)
 			sleeper.Sleep(ctx, watchRetryDelay-(w.cfg.Clock()-scannedAt))
 			continue
 		}
@@ -85,30 +90,56 @@
 	return nil
 }
 
+// cannotFollow reports whether a watch failed in a way that repeating it does not help: the store no
+// longer has the history, or the changes since the revision are too large for one answer.
+func cannotFollow(err error) bool {
+	return errors.Is(err, storer.ErrHistoryLost) || errors.Is(err, storer.ErrUnusable)
+}
+
 func (w *prefixWatcher) scan(ctx context.Context) (storer.Version, error) {
-	call, cancel := context.WithTimeout(ctx, 4*storeTimeout)
-	defer cancel()
 	sentAt := w.cfg.Clock()
-	listing, err := w.cfg.Store.Scan(call, w.cfg.Prefix)
+	var events []storer.Event
+	revision, err := scanPages(ctx, w.cfg.Store, w.cfg.Prefix, func(items []storer.Item) {
+		for _, item := range items {
+			events = append(events, w.bounded(storer.Event{
+				Item: item,
+			}))
+		}
+	})
 	if err != nil {
 		w.failed(err)
 		return 0, err
 	}
-	events := make([]storer.Event, 0, len(listing.Items))
-	for _, item := range listing.Items {
-		events = append(events, storer.Event{
-			Item: item,
-		})
-	}
 	w.cfg.Apply(events, true)
 	w.succeeded(sentAt)
 	if !w.ready.Swap(true) {
 		close(w.loaded)
 	}
-	return listing.Revision, nil
+	return revision, nil
+}
+
+// scanPages reads a prefix page by page. The time limit is for each page, because other writers may
+// leave any number of them.
+func scanPages(ctx context.Context, store storer.TransactionalStore, prefix string, page func(items []storer.Item)) (storer.Version, error) {
+	call, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := time.AfterFunc(pageTimeout, func() { cancel(context.DeadlineExceeded) })
+	defer limit.Stop()
+	return store.ScanPages(call, prefix, func(items []storer.Item) {
+		limit.Reset(pageTimeout)
+		page(items)
+	})
+}
+
+// bounded returns the event without its value if that exceeds MaxValueBytes.
+func (w *prefixWatcher) bounded(event storer.Event) storer.Event {
+	if limit := w.cfg.MaxValueBytes; limit > 0 && len(event.Item.Value) > limit {
+		event.Item.Value = nil
+	}
+	return event
 }
 
-// follow applies changes until ctx ends or the store no longer has the history. It retries
+// follow applies changes until ctx ends or they can't be followed from the revision. It retries
 // other failures.
 func (w *prefixWatcher) follow(ctx context.Context, revision storer.Version) error {
 	for ctx.Err() == nil {
@@ -121,7 +152,7 @@
 		changes, err := w.cfg.Store.WatchPrefix(call, w.cfg.Prefix, revision, wait)
 		cancel()
 		switch {
-		case errors.Is(err, storer.ErrHistoryLost):
+		case cannotFollow(err):
 			return err
 		case err != nil:
 			w.failed(err)
@@ -129,6 +160,9 @@
 			continue
 		}
 		if len(changes.Events) > 0 {
+			for i, event := range changes.Events {
+				changes.Events[i] = w.bounded(event)
+			}
 			w.cfg.Apply(changes.Events, false)
 		}
 		w.succeeded(sentAt)
--- a/internal/manager/prefix_watcher_test.go
+++ b/internal/manager/prefix_watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,11 +20,9 @@
 	scans int
 }
 
-func (s *forgetfulStore) Scan(context.Context, string) (storer.Listing, error) {
+func (s *forgetfulStore) ScanPages(context.Context, string, func([]storer.Item)) (storer.Version, error) {
 	s.scans++
-	return storer.Listing{
-		Revision: 1,
-	}, nil
+	return 1, nil
 }
 
 func (s *forgetfulStore) WatchPrefix(context.Context, string, storer.Version, time.Duration) (storer.Changes, error) {
@@ -66,3 +65,61 @@
 		})
 	}
 }
+
+// crowdedStore has a prefix of many large entries.
+type crowdedStore struct {
+	storer.TransactionalStore
+	pages      int
+	valueBytes int
+}
+
+func (s *crowdedStore) ScanPages(_ context.Context, _ string, page func([]storer.Item)) (storer.Version, error) {
+	for n := range s.pages {
+		page([]storer.Item{{
+			Key:     fmt.Sprint("targets/", n),
+			Value:   make([]byte, s.valueBytes),
+			Version: 1,
+		}})
+	}
+	return 1, nil
+}
+
+func (s *crowdedStore) WatchPrefix(ctx context.Context, _ string, _ storer.Version, _ time.Duration) (storer.Changes, error) {
+	<-ctx.Done()
+	return storer.Changes{}, ctx.Err()
+}
+
+// Guards against daemons that hold everything which another writer has left among the registrations
+// of targets while they read these.
+func TestLargeEntriesOfAPrefixAreNotHeld(t *testing.T) {
+	const pages, maxMB = 200, 10
+	heapMB := func() float64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return float64(stats.HeapAlloc) / (1 << 20)
+	}
+	before := heapMB()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	began := time.Now()
+	w := newPrefixWatcher(watcherConfig{
+		Store: &crowdedStore{
+			pages:      pages,
+			valueBytes: 1 << 20,
+		},
+		Logger:        hclog.NewNullLogger(),
+		Clock:         func() time.Duration { return time.Since(began) },
+		Prefix:        "targets/",
+		MaxValueBytes: maxRegistrationBytes,
+		Apply: func(events []storer.Event, full bool) {
+			if mb := heapMB() - before; len(events) != pages || !full || mb > maxMB {
+				t.Errorf("%d entries, all %t, take %.0f MB, want %d, true and at most %d MB", len(events), full, mb, pages, maxMB)
+			}
+			cancel()
+		},
+	})
+	if err := w.run(ctx); err != nil || !w.ready.Load() {
+		t.Errorf("ready %t, %v", w.ready.Load(), err)
+	}
+}
--- a/internal/manager/silent_store_test.go
+++ b/internal/manager/silent_store_test.go
@@ -27,11 +27,11 @@
 	return ctx.Err()
 }
 
-func (s *silentStore) Scan(ctx context.Context, prefix string) (storer.Listing, error) {
+func (s *silentStore) ScanPages(ctx context.Context, prefix string, page func([]storer.Item)) (storer.Version, error) {
 	if err := s.lost(ctx); err != nil {
-		return storer.Listing{}, err
+		return 0, err
 	}
-	return s.TransactionalStore.Scan(ctx, prefix)
+	return s.TransactionalStore.ScanPages(ctx, prefix, page)
 }
 
 func (s *silentStore) WatchPrefix(ctx context.Context, prefix string, after storer.Version, wait time.Duration) (storer.Changes, error) {
--- a/internal/manager/status.go
+++ b/internal/manager/status.go
@@ -103,7 +103,7 @@
 		}),
 	}
 	for _, prefix := range []string{schema.OperatorPrefix(), sharedPrefix, controlPrefix} {
-		listing, err := store.Scan(ctx, prefix)
+		listing, err := storer.Scan(ctx, store, prefix)
 		if err != nil {
 			return Status{}, Error.New("reading %s: %w", prefix, err)
 		}
--- a/pkg/elector/elector_test.go
+++ b/pkg/elector/elector_test.go
@@ -58,11 +58,11 @@
 	return s.Memory.WatchPrefix(ctx, prefix, after, wait)
 }
 
-func (s *partitionableStore) Scan(ctx context.Context, prefix string) (storer.Listing, error) {
+func (s *partitionableStore) ScanPages(ctx context.Context, prefix string, page func([]storer.Item)) (storer.Version, error) {
 	if s.partitioned.Load() {
-		return storer.Listing{}, storer.ErrUnavailable
+		return 0, storer.ErrUnavailable
 	}
-	return s.Memory.Scan(ctx, prefix)
+	return s.Memory.ScanPages(ctx, prefix, page)
 }
 
 // election runs electors and records which of them leads.
@@ -112,7 +112,7 @@
 // follow keeps owners up to date until ctx ends.
 func follow(ctx context.Context, store storer.TransactionalStore, owners *elector.Owners) {
 	for ctx.Err() == nil {
-		listing, err := store.Scan(ctx, "owner")
+		listing, err := storer.Scan(ctx, store, "owner")
 		if err != nil {
 			time.Sleep(100 * time.Millisecond)
 			continue
--- a/pkg/storer/memory_transaction.go
+++ b/pkg/storer/memory_transaction.go
@@ -18,7 +18,7 @@
 	return m.Get(ctx, key)
 }
 
-// Scan implements TransactionalStore.
+// Scan returns all items with the prefix.
 func (m *Memory) Scan(ctx context.Context, prefix string) (Listing, error) {
 	items, err := m.List(ctx, prefix)
 	if err != nil {
@@ -32,6 +32,15 @@
 	}, nil
 }
 
+// ScanPages implements TransactionalStore.
+func (m *Memory) ScanPages(ctx context.Context, prefix string, page func(items []Item)) (Version, error) {
+	listing, err := m.Scan(ctx, prefix)
+	if err == nil && len(listing.Items) > 0 {
+		page(listing.Items)
+	}
+	return listing.Revision, err
+}
+
 // WatchPrefix implements TransactionalStore.
 func (m *Memory) WatchPrefix(ctx context.Context, prefix string, after Version, wait time.Duration) (Changes, error) {
 	deadline := time.Now().Add(wait)
--- a/pkg/storer/transaction.go
+++ b/pkg/storer/transaction.go
@@ -77,6 +77,18 @@
 	Revision Version
 }
 
+// Scan returns all items with the prefix. Where other writers may leave any number or size of them,
+// ScanPages needs less memory.
+func Scan(ctx context.Context, store TransactionalStore, prefix string) (Listing, error) {
+	var listing Listing
+	revision, err := store.ScanPages(ctx, prefix, func(items []Item) { listing.Items = append(listing.Items, items...) })
+	if err != nil {
+		return Listing{}, err
+	}
+	listing.Revision = revision
+	return listing, nil
+}
+
 // TransactionalStore is a key-value service with one revision for all keys.
 //
 // Every method may return ErrUnavailable: nothing was done. Methods that write may also
@@ -85,10 +97,12 @@
 type TransactionalStore interface {
 	// Read returns the current item; an absent key has version zero.
 	Read(ctx context.Context, key string) (Item, error)
-	// Scan returns all items with the prefix.
-	Scan(ctx context.Context, prefix string) (Listing, error)
+	// ScanPages passes the items with the prefix to page, some at a time, and returns the revision of
+	// the Listing that Scan returns. After an error, page may have received a part of them.
+	ScanPages(ctx context.Context, prefix string, page func(items []Item)) (Version, error)
 	// WatchPrefix returns the changes of keys with the prefix after the revision. It waits for
-	// the first one at most for wait. ErrHistoryLost means that the caller has to scan again.
+	// the first one at most for wait. ErrHistoryLost and ErrUnusable mean that the caller has to scan
+	// again.
 	WatchPrefix(ctx context.Context, prefix string, after Version, wait time.Duration) (Changes, error)
 	// Commit applies the transaction and returns its revision. A conflict is reported as a
 	// *ConflictError; ErrLeaseNotFound means that a lease of a put has ended.
