manager: jobs beyond the memory of the owner are refused before they are accepted

Cause: jobs that would end too late are refused, but that leaves out scheduled and long-running jobs and those of which the caller's estimate is too low. Each accepted job stays in the memory of the owner until it has ended.

Change: an owner reports about how much memory it needs for the accepted work (Engine.HeldBytes), and a daemon refuses a job that exceeds an eighth of the memory of a VM together with that and with what it has accepted since the report, which is a quarter of the bound at most. The refusal is stored as for jobs that would end too late, so that a delayed or repeated request is not accepted behind it. Other cells take the job first if they have room, and jobs are not transferred to a full cell.

Why it works: the bound holds for what an owner holds, whoever sent it, and a successor loads no more than that.

TestHeldBytesAreNearTheMemoryInUse compares the estimate with the heap.

--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/comfreyford/comfreyford/pkg/jobkeeper"
@@ -68,6 +69,7 @@
 	operatorWatch *prefixWatcher
 	view          *fleetView
 	admission     *admissionControl
+	capacity      *capacityControl
 	neighbors     *neighborhood // nil if calls are not handed on
 }
 
@@ -78,6 +80,7 @@
 		operatorWatch: operatorWatch,
 		view:          view,
 		neighbors:     neighbors,
+		capacity:      newCapacityControl(cfg, view),
 		admission: &admissionControl{
 			cfg:  cfg,
 			view: view,
@@ -211,17 +214,14 @@
 		if !ok {
 			return unknownIfUnanswered(unavailable("fleet not divided yet"), unanswered)
 		}
-		retryAfter, tooLate := f.admission.tooLate(a, job, cell)
-		err := f.storeDecision(ctx, call, a, job, cell, refusal, tooLate)
+		rejected := f.rejection(a, job, cell)
+		err := f.storeDecision(ctx, call, a, job, cell, refusal, rejected != Result{})
 		var conflict *storer.ConflictError
 		switch {
-		case err == nil && tooLate:
-			return Result{
-				Verdict:    VerdictNotRun,
-				Reason:     "the queue is too long for this job",
-				RetryAfter: retryAfter,
-			}
+		case err == nil && rejected != Result{}:
+			return rejected
 		case err == nil:
+			f.capacity.add(cell, job)
 			f.cfg.Logger.Info("job accepted", "job", a.id, "queue", a.route.Queue, "team", a.team, "cell", cell, "config_version", a.conf.Version, "steps", len(job.Steps))
 			return Result{
 				Verdict: VerdictOK,
@@ -235,7 +235,10 @@
 			}
 			refusal = version
 		case errors.Is(err, storer.ErrOutcomeUnknown):
-			unanswered = unanswered || !tooLate
+			if rejected == (Result{}) {
+				unanswered = true
+				f.capacity.add(cell, job) // it may be stored
+			}
 			if f.mayHandOn(call) {
 				return unknownIfUnanswered(unavailable("store did not answer"), unanswered)
 			}
@@ -251,11 +254,31 @@
 	return unknownIfUnanswered(unavailable("store busy"), unanswered)
 }
 
-// storeDecision stores the job, or its refusal if it would end too late.
-func (f *Front) storeDecision(ctx context.Context, call Call, a authorizedCall, job *jobkeeper.Job, cell string, refusal storer.Version, tooLate bool) error {
+// rejection returns the answer for a job that is not accepted, or the zero Result.
+func (f *Front) rejection(a authorizedCall, job *jobkeeper.Job, cell string) Result {
+	if f.capacity.full(cell, job) {
+		f.cfg.Logger.Warn("job refused, accepted work takes the memory of the owner", "job", a.id, "queue", a.route.Queue, "team", a.team, "cell", cell)
+		return Result{
+			Verdict:    VerdictNotRun,
+			Reason:     "too much accepted work waits",
+			RetryAfter: fullRetryAfter + time.Duration(retryJitter(a.id)*float64(fullRetryAfter)),
+		}
+	}
+	if retryAfter, tooLate := f.admission.tooLate(a, job, cell); tooLate {
+		return Result{
+			Verdict:    VerdictNotRun,
+			Reason:     "the queue is too long for this job",
+			RetryAfter: retryAfter,
+		}
+	}
+	return Result{}
+}
+
+// storeDecision stores the job, or its refusal.
+func (f *Front) storeDecision(ctx context.Context, call Call, a authorizedCall, job *jobkeeper.Job, cell string, refusal storer.Version, refused bool) error {
 	ctx, cancel := f.withStoreTimeout(ctx, call)
 	defer cancel()
-	if tooLate {
+	if refused {
 		return f.admission.mark(ctx, a, jobkeeper.StateRefused, refusal)
 	}
 	transaction, err := f.acceptanceTransaction(a, job, cell, refusal)
@@ -303,6 +326,10 @@
 	homes := layout.Homes(a.team, a.conf.Engine.Teams[a.team].Limit)
 	homes = layout.OpenCells(homes, f.settings.evacuatedZones())
 	candidates := f.view.candidates(homes, job.Pool, jobRack(job))
+	roomy := slices.DeleteFunc(slices.Clone(candidates), func(c partitioner.Candidate) bool { return f.capacity.full(c.Cell, job) })
+	if len(roomy) > 0 {
+		candidates = roomy
+	}
 	i := partitioner.Choose(candidates, [2]float64{rand.Float64(), rand.Float64()})
 	if i < 0 {
 		return "", false
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -113,6 +113,9 @@
 	Clock  func() time.Duration
 	UnixMS func() int64
 	Bounds Bounds
+	// WorkBytes bounds the memory that the owner of a cell needs for accepted work. Callers are
+	// refused beyond it. Zero means no bound.
+	WorkBytes int64
 	// Recorder takes the metrics; nil for none.
 	Recorder *recorder.Recorder
 	// ElectionDelay postpones this daemon's attempts to become the owner, so that daemons on
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -47,6 +47,7 @@
 	registrationWatch *prefixWatcher
 	term              elector.Term
 	advice            *adviserQueue
+	capacity          *capacityControl
 
 	mu             sync.Mutex
 	engine         *orchestrator.Engine
@@ -81,6 +82,7 @@
 		operatorWatch: operatorWatch,
 		term:          term,
 		advice:        advice,
+		capacity:      newCapacityControl(cfg, view),
 		targetLoops:   map[string]*targetLoop{},
 		recorded:      make(chan struct{}),
 		wakeup:        make(chan struct{}, 1),
--- a/internal/manager/recorder.go
+++ b/internal/manager/recorder.go
@@ -330,6 +330,7 @@
 		OverShare:       o.overShare(),
 		Evacuated:       o.engine.EvacuatedZones(),
 		RecordsVMOrders: true,
+		HeldBytes:       o.engine.HeldBytes() / heldRounding * heldRounding,
 	}
 	if o.durations == nil || now-o.durationsAt >= publishRefresh {
 		o.durations, o.durationsAt = o.engine.Durations(), now
--- a/internal/manager/transfer.go
+++ b/internal/manager/transfer.go
@@ -88,7 +88,7 @@
 	}
 	rack := jobRack(t.Job)
 	candidates := slices.DeleteFunc(o.view.candidates(homes, t.Pool, rack), func(c partitioner.Candidate) bool {
-		return c.Millicores == 0 || !t.Stranded && c.Backlog+transferAdvantage > here
+		return c.Millicores == 0 || o.capacity.full(c.Cell, t.Job) || !t.Stranded && c.Backlog+transferAdvantage > here
 	})
 	i := partitioner.Choose(candidates, [2]float64{rand.Float64(), rand.Float64()})
 	if i < 0 {
@@ -182,6 +182,9 @@
 		p.unanswered = true
 		return false
 	}
+	if given {
+		o.capacity.add(p.to, p.transfer.Job)
+	}
 	o.logger.Info("job transferred to another cell", "job", id, "queue", p.transfer.Job.Queue, "to", p.to, "stranded", p.transfer.Stranded, "given", given, "error", err)
 	o.locked(func() { o.engine.EndTransfer(id, given, o.cfg.Clock()) })
 	return true
--- a/pkg/budgeter/limits.go
+++ b/pkg/budgeter/limits.go
@@ -18,10 +18,12 @@
 	// much; a body of 256 KiB takes some ten round trips.
 	ReceiveBuffer = 32 << 10
 
-	// requestPart and connectionPart are the parts of a VM's memory for requests and for
-	// connections without one: one of each. The collector may need as much again.
+	// requestPart, connectionPart and workPart are the parts of a VM's memory for requests, for
+	// connections without one, and for the accepted work of a cell: one of each. The collector may
+	// need as much again.
 	requestPart    = 8
 	connectionPart = 16
+	workPart       = 8
 	// filePart is the part of the descriptors for callers: a request may need a second one for
 	// its call to the store, and the owner of a cell needs the rest for its targets.
 	filePart = 3
@@ -73,6 +75,9 @@
 	}
 }
 
+// WorkBytes returns the memory that the owner of a cell may need for accepted work.
+func (l Limits) WorkBytes() int64 { return l.known().MemoryBytes / workPart }
+
 // Operators returns the budget for a listener that operators use, whose bodies have a limit. It has
 // half of what callers have, and room for the largest body as it is read.
 func (l Limits) Operators(maxBodyBytes int64) Config {
--- a/pkg/orchestrator/waiting_work_test.go
+++ b/pkg/orchestrator/waiting_work_test.go
@@ -188,3 +188,49 @@
 		t.Error("the first occurrence has not started")
 	}
 }
+
+// Guards against estimates of the memory for accepted work on which refusals can't rest.
+func TestHeldBytesAreNearTheMemoryInUse(t *testing.T) {
+	tests := []struct {
+		name string
+		job  func(id string) *jobkeeper.Job
+	}{
+		{
+			name: "jobs of one task",
+			job:  func(id string) *jobkeeper.Job { return testJob(id, "schools", 1700, 1) },
+		},
+		{
+			name: "jobs of 64 steps",
+			job: func(id string) *jobkeeper.Job {
+				widths := make([]int, jobkeeper.MaxSteps)
+				for i := range widths {
+					widths[i] = 60
+				}
+				return testJob(id, "schools", 1700, widths...)
+			},
+		},
+		{
+			name: "schedules",
+			job:  func(id string) *jobkeeper.Job { return overdueJob(id, wallStart, 1000) },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			const jobs = 500
+			w := newWorld(t, testConfiguration())
+			w.addTarget("t0", "desk", cores(4))
+			w.takeOver()
+			w.run(300 * time.Millisecond)
+			before := heapMB()
+			for i := range jobs {
+				w.submit(tt.job(fmt.Sprintf("j%d", i)))
+			}
+			w.run(200 * time.Millisecond)
+			used := heapMB() - before
+			held := float64(w.engine.HeldBytes()) / (1 << 20)
+			if held < used/2 || held > 4*used {
+				t.Errorf("%.1f MB are in use and %.1f MB are stated, want a half to four times as many", used, held)
+			}
+		})
+	}
+}
