manager: a team may hold as much accepted work as it leaves to the others

Callers saw: one client that hands in jobs for later shuts all others out for as long as these wait (trial on a scratch copy of: 819 jobs of 64 steps accepted, then no daemon accepted a small job in 60 attempts).

Change: owners report what they hold for each team. The room for a job is the bound less what is held by all and less what its team holds. A job may need 1/64 of the room, so that large jobs are refused before small ones, and a daemon may accept an eighth of the room until reports show what it accepted.

--- a/internal/manager/capacity.go
+++ b/internal/manager/capacity.go
@@ -9,72 +9,88 @@
 )
 
 const (
-	// fullRetryAfter is when callers are told to repeat a job that a full cell can't take.
+	// fullRetryAfter is the shortest time after which callers are told to repeat a job that a full
+	// cell can't take.
 	fullRetryAfter = 3 * time.Second
-	// unreportedPart is the part of Config.WorkBytes that a daemon accepts for a cell between two
-	// reports of its owner, or while there is none. All daemons do at the same time.
-	unreportedPart = 4
+	// acceptedPart is the part of the room of a cell that a daemon may use before reports show what
+	// it used. All daemons do at the same time.
+	acceptedPart = 8
+	// acceptedMemory is the shortest time for which accepted work counts beside the reports: the
+	// owner reads new jobs, reports every publishInterval, and reports are read every sharedPause.
+	acceptedMemory = 1500 * time.Millisecond
+	// largestPart is the part of the room that one job may need, so that large jobs are refused
+	// before small ones.
+	largestPart = 64
 	// heldRounding is the unit to which owners round the memory that they report.
-	heldRounding = 256 << 10
+	heldRounding = 64 << 10
 )
 
 // capacityControl bounds the accepted work that the owner of a cell has to hold in memory, by its
-// reports and by what this daemon has accepted since.
+// reports and by what this daemon has accepted lately. A team may hold as much as it leaves to the
+// others, so that no team shuts the others out.
 type capacityControl struct {
 	cfg  Config
 	view *fleetView
 
 	mu       sync.Mutex
-	accepted map[string]acceptedWork // by cell
+	accepted map[string]*acceptedWork // by cell
 }
 
-// acceptedWork is what this daemon has accepted for a cell since the report that arrived at a time.
+// acceptedWork is the work, in bytes, that this daemon has accepted for a cell in a period, and in
+// the one before it. A period lasts for acceptedMemory, and until the next report arrives.
 type acceptedWork struct {
-	reportAt time.Duration
-	bytes    int64
+	since           time.Duration
+	reportAt        time.Duration // when the last report before the period arrived
+	current, before int64
 }
 
 func newCapacityControl(cfg Config, view *fleetView) *capacityControl {
 	return &capacityControl{
 		cfg:      cfg,
 		view:     view,
-		accepted: map[string]acceptedWork{},
+		accepted: map[string]*acceptedWork{},
 	}
 }
 
 // full reports whether the owner of a cell could not hold a job beside what it holds.
 func (c *capacityControl) full(cell string, job *jobkeeper.Job) bool {
-	limit := c.cfg.WorkBytes
-	if limit <= 0 {
+	if c.cfg.WorkBytes <= 0 {
 		return false
 	}
-	held, since := c.load(cell)
+	all, ofTeam, at := c.view.heldBytes(cell, job.Team)
+	room := c.cfg.WorkBytes - all - ofTeam
 	bytes := orchestrator.HeldForWaitingJob(job)
-	return held+since+bytes > limit || since+bytes > max(limit/unreportedPart, bytes)
-}
-
-// load returns what the owner of a cell reported last, and what this daemon has accepted since.
-func (c *capacityControl) load(cell string) (held, since int64) {
-	held, at := c.view.heldBytes(cell)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w := c.accepted[cell]; w.reportAt == at {
-		since = w.bytes
-	}
-	return held, since
+	w := c.acceptedFor(cell, at)
+	return bytes > room/largestPart || w.current+w.before+bytes > room/acceptedPart
 }
 
 // add counts a job that was accepted for a cell.
 func (c *capacityControl) add(cell string, job *jobkeeper.Job) {
-	_, at := c.view.heldBytes(cell)
+	_, _, at := c.view.heldBytes(cell, job.Team)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.acceptedFor(cell, at).current += orchestrator.HeldForWaitingJob(job)
+}
+
+// acceptedFor returns what was accepted for a cell. The caller holds the lock.
+func (c *capacityControl) acceptedFor(cell string, reportAt time.Duration) *acceptedWork {
+	now := c.cfg.Clock()
 	w := c.accepted[cell]
-	if w.reportAt != at {
-		w = acceptedWork{
-			reportAt: at,
+	if w == nil {
+		w = &acceptedWork{
+			since:    now,
+			reportAt: reportAt,
+		}
+		c.accepted[cell] = w
+	}
+	if now-w.since >= acceptedMemory && reportAt != w.reportAt {
+		*w = acceptedWork{
+			since:    now,
+			reportAt: reportAt,
+			before:   w.current,
 		}
 	}
-	w.bytes += orchestrator.HeldForWaitingJob(job)
-	c.accepted[cell] = w
+	return w
 }
--- a/internal/manager/fleet_view.go
+++ b/internal/manager/fleet_view.go
@@ -50,8 +50,9 @@
 	// RecordsVMOrders is true if the owner records its orders for VMs. Owners of earlier releases
 	// don't.
 	RecordsVMOrders bool `cbor:"8,keyasint,omitempty"`
-	// HeldBytes is the memory that the owner needs for accepted work, rounded to heldRounding.
-	HeldBytes int64 `cbor:"9,keyasint,omitempty"`
+	// HeldBytes is the memory that the owner needs for the accepted work of each team, rounded to
+	// heldRounding.
+	HeldBytes map[string]int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // poolReport is the part of a cell's report on a pool.
@@ -193,13 +194,16 @@
 	return received.cellReport, age, found && age <= maxReportAge
 }
 
-// heldBytes returns the memory that the owner of a cell needs for accepted work by its last report,
-// however old that is, and when it arrived.
-func (v *fleetView) heldBytes(cell string) (bytes int64, at time.Duration) {
+// heldBytes returns the memory that the owner of a cell needs for accepted work, and for that of a
+// team, by its last report, however old that is, and when it arrived.
+func (v *fleetView) heldBytes(cell, team string) (all, ofTeam int64, at time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	received := v.reports[cell]
-	return received.HeldBytes, received.at
+	for _, bytes := range received.HeldBytes {
+		all += bytes
+	}
+	return all, received.HeldBytes[team], received.at
 }
 
 // queue returns the state of a queue in a cell.
--- a/internal/manager/recorder.go
+++ b/internal/manager/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"time"
 
@@ -330,12 +331,16 @@
 		OverShare:       o.overShare(),
 		Evacuated:       o.engine.EvacuatedZones(),
 		RecordsVMOrders: true,
-		HeldBytes:       o.engine.HeldBytes() / heldRounding * heldRounding,
+		HeldBytes:       o.engine.HeldBytes(),
 	}
 	if o.durations == nil || now-o.durationsAt >= publishRefresh {
 		o.durations, o.durationsAt = o.engine.Durations(), now
 	}
 	r.Durations = o.durations
+	for team, bytes := range r.HeldBytes {
+		r.HeldBytes[team] = bytes / heldRounding * heldRounding
+	}
+	maps.DeleteFunc(r.HeldBytes, func(_ string, bytes int64) bool { return bytes == 0 })
 	for i := range r.Queues {
 		q := &r.Queues[i]
 		q.ExpectedWait = q.ExpectedWait.Round(waitRounding)
--- a/pkg/orchestrator/held.go
+++ b/pkg/orchestrator/held.go
@@ -10,16 +10,22 @@
 	heldPerTask       = 512 // that has a state
 )
 
-// HeldBytes returns about how much memory the engine needs for the jobs that have not ended.
-func (e *Engine) HeldBytes() int64 {
-	var sum int64
+// HeldBytes returns about how much memory the engine needs for the jobs of each team that have not
+// ended.
+func (e *Engine) HeldBytes() map[string]int64 {
+	held := map[string]int64{}
 	for _, j := range e.active {
-		sum += documentBytes(j.doc)
-		for _, o := range j.open {
-			sum += heldPerOccurrence + int64(len(o.steps))*heldPerStep
-			for _, s := range o.steps {
-				sum += int64(len(s.tasks)) * heldPerTask
-			}
+		held[j.doc.Team] += j.heldBytes()
+	}
+	return held
+}
+
+func (j *job) heldBytes() int64 {
+	sum := documentBytes(j.doc)
+	for _, o := range j.open {
+		sum += heldPerOccurrence + int64(len(o.steps))*heldPerStep
+		for _, s := range o.steps {
+			sum += int64(len(s.tasks)) * heldPerTask
 		}
 	}
 	return sum
--- a/pkg/orchestrator/waiting_work_test.go
+++ b/pkg/orchestrator/waiting_work_test.go
@@ -227,7 +227,7 @@
 			}
 			w.run(200 * time.Millisecond)
 			used := heapMB() - before
-			held := float64(w.engine.HeldBytes()) / (1 << 20)
+			held := float64(w.engine.HeldBytes()["schools"]) / (1 << 20)
 			if held < used/2 || held > 4*used {
 				t.Errorf("%.1f MB are in use and %.1f MB are stated, want a half to four times as many", used, held)
 			}
