orchestrator: what an owner holds for a job includes its next occurrence

TestWorkBeyondTheMemoryOfTheOwnerIsRefused failed at: 609 jobs of 4,462,752 bytes by HeldForWaitingJob were accepted with a bound of 8 MiB, more than the half that one team may hold. The owner left the occurrence of jobs that are not due out of its report, while the refusal counts it. Now both count one, which is opened later.

--- a/pkg/orchestrator/held.go
+++ b/pkg/orchestrator/held.go
@@ -20,7 +20,11 @@
 	return held
 }
 
+// heldBytes counts one occurrence at least, which is opened when it is due.
 func (j *job) heldBytes() int64 {
+	if len(j.open) == 0 {
+		return HeldForWaitingJob(j.doc)
+	}
 	sum := documentBytes(j.doc)
 	for _, o := range j.open {
 		sum += heldPerOccurrence + int64(len(o.steps))*heldPerStep
