manager: an owner that can't act gives up the ownership

Callers saw: accepted jobs wait for as long as the owner can't read the intake, the registrations or the configuration, while another daemon could (the owner of review/13 kept its lease for the 17 s in which it started nothing).

Cause: the lease is renewed apart from the reads that an owner needs to act, so a daemon whose reads fail, while its renewals succeed, stays the owner.

Evidence: TestOwnerThatCannotActGivesUp without the change: the job of a second daemon that reads everything starts 0 times in 13 s.

An owner that reads a large prefix page by page, or that acts slowly, stays (TestOwnerKeepsTheFleetThroughASlowStore).

--- a/internal/manager/capacity.go
+++ b/internal/manager/capacity.go
@@ -15,9 +15,9 @@
 	// acceptedPart is the part of the room of a cell that a daemon may use before reports show what
 	// it used. All daemons do at the same time.
 	acceptedPart = 8
-	// acceptedMemory is the shortest time for which accepted work counts beside the reports: the
+	// acceptedPeriod is the shortest time for which accepted work counts beside the reports: the
 	// owner reads new jobs, reports every publishInterval, and reports are read every sharedPause.
-	acceptedMemory = 1500 * time.Millisecond
+	acceptedPeriod = 1500 * time.Millisecond
 	// largestPart is the part of the room that one job may need, so that large jobs are refused
 	// before small ones.
 	largestPart = 64
@@ -37,7 +37,7 @@
 }
 
 // acceptedWork is the work, in bytes, that this daemon has accepted for a cell in a period, and in
-// the one before it. A period lasts for acceptedMemory, and until the next report arrives.
+// the one before it. A period lasts for acceptedPeriod, and until the next report arrives.
 type acceptedWork struct {
 	since           time.Duration
 	reportAt        time.Duration // when the last report before the period arrived
@@ -85,7 +85,7 @@
 		}
 		c.accepted[cell] = w
 	}
-	if now-w.since >= acceptedMemory && reportAt != w.reportAt {
+	if now-w.since >= acceptedPeriod && reportAt != w.reportAt {
 		*w = acceptedWork{
 			since:    now,
 			reportAt: reportAt,
--- a/internal/manager/intake.go
+++ b/internal/manager/intake.go
@@ -29,6 +29,7 @@
 		listing, err := storer.Scan(call, o.cfg.Store, prefix)
 		cancel()
 		if err == nil {
+			o.progress()
 			return listing.Items, nil
 		}
 		o.logger.Warn("reading the store for the takeover failed, trying again", "prefix", prefix, "error", err)
@@ -188,6 +189,7 @@
 			}
 			continue
 		}
+		o.progress()
 		j.version = item.Version
 		if item.Version == 0 {
 			return
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -190,6 +191,8 @@
 	draining       bool
 	cancelElection context.CancelFunc // ends the ownership and the participation in the elections
 	owned          map[string]*owner  // by cell, while this daemon is the owner
+	// stalledAt is when this daemon last gave up the ownership of a cell because it could not act.
+	stalledAt map[string]time.Duration
 }
 
 // New returns a Manager, which does nothing until Run or its Components run.
@@ -217,6 +220,7 @@
 		advice:    newAdviserQueue(cfg),
 		neighbors: neighbors,
 		owned:     map[string]*owner{},
+		stalledAt: map[string]time.Duration{},
 	}
 	m.operatorWatch = newPrefixWatcher(watcherConfig{
 		Store:  cfg.Store,
@@ -363,7 +367,7 @@
 		Name:         m.cfg.Name,
 		TTL:          max(ownerTTL, m.cfg.Bounds.MinLease),
 		Clock:        m.cfg.Clock,
-		AttemptDelay: func() time.Duration { return m.attemptDelay(foreign) },
+		AttemptDelay: func() time.Duration { return m.attemptDelay(cell, foreign) },
 		Owners:       m.owners,
 		CallTimeout:  storeTimeout,
 	}).Run(ctx, func(ctx context.Context, term elector.Term) {
@@ -379,13 +383,16 @@
 
 // attemptDelay returns how long this daemon waits before it tries to become the owner of a
 // cell without one.
-func (m *Manager) attemptDelay(foreign bool) time.Duration {
+func (m *Manager) attemptDelay(cell string, foreign bool) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delay := m.cfg.ElectionDelay + time.Duration(len(m.owned))*ownedCellDelay
 	if foreign {
 		delay += foreignCellDelay
 	}
+	if at, stalled := m.stalledAt[cell]; stalled && m.cfg.Clock()-at < 2*stalledDelay {
+		delay += stalledDelay
+	}
 	return delay
 }
 
@@ -394,7 +401,13 @@
 	o := newOwner(m.cfg, m.settings, m.operatorWatch, m.view, m.advice, layout, cell, term)
 	m.setOwned(cell, o)
 	defer m.setOwned(cell, nil)
-	if err := o.run(ctx); err != nil {
+	err := o.run(ctx)
+	if errors.Is(err, errStalled) {
+		m.mu.Lock()
+		m.stalledAt[cell] = m.cfg.Clock()
+		m.mu.Unlock()
+	}
+	if err != nil {
 		m.cfg.Logger.Warn("owner returned an error", "cell", cell, "fence", uint64(term.Fence), "error", err)
 	}
 }
--- a/internal/manager/owner.go
+++ b/internal/manager/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -67,6 +68,7 @@
 	vmCells        map[string]string // cell of each VM of the fleet; nil before the first list
 	unknownZones   map[string]bool   // evacuated zones without a VM, which were logged
 	paused         bool              // decisions wait for a newer state of the store
+	progressAt     atomic.Int64      // when progress was called last
 	ctx            context.Context   // ends with the ownership; for calls that callbacks start
 	fail           context.CancelCauseFunc
 }
@@ -121,8 +123,12 @@
 	defer fail(nil)
 	o.ctx = ctx
 	o.fail = fail
+	o.progress()
+	o.spawn(func() { o.giveUpIfStalled(ctx) })
 	if err := o.load(ctx); err != nil {
-		return err
+		fail(err)
+		o.workers.Wait()
+		return context.Cause(ctx)
 	}
 	o.spawn(func() { o.intakeWatch.run(ctx) }) //nolint:errcheck // ends with ctx
 	// Targets are listed only when the jobs are known: the end of an unknown task would be
@@ -327,6 +333,7 @@
 		return
 	}
 	o.logPause(false)
+	o.progress()
 	var orders []orchestrator.Order
 	var requests []orchestrator.AdviceRequest
 	o.locked(func() {
--- a/internal/manager/prefix_watcher.go
+++ b/internal/manager/prefix_watcher.go
@@ -47,6 +47,7 @@
 	ready         atomic.Bool   // set after the first scan
 	unreachable   bool          // the last call failed
 	lastFailureAt atomic.Int64  // when a call last failed
+	pageAt        atomic.Int64  // when a page of a scan last arrived
 }
 
 func newPrefixWatcher(cfg watcherConfig) *prefixWatcher {
@@ -56,6 +57,7 @@
 	}
 	w.lastSuccessAt.Store(-int64(time.Hour))
 	w.lastFailureAt.Store(-int64(time.Hour))
+	w.pageAt.Store(-int64(time.Hour))
 	return w
 }
 
@@ -100,6 +102,7 @@
 	sentAt := w.cfg.Clock()
 	var events []storer.Event
 	revision, err := scanPages(ctx, w.cfg.Store, w.cfg.Prefix, func(items []storer.Item) {
+		w.pageAt.Store(int64(w.cfg.Clock()))
 		for _, item := range items {
 			events = append(events, w.bounded(storer.Event{
 				Item: item,
