platform, manager: the time limit of a page is a timeout

Since a page of a prefix that does not arrive is ended by a cancellation with the cause DeadlineExceeded.

Deadlines have the cause DeadlineExceeded too.

--- a/internal/manager/neighbor.go
+++ b/internal/manager/neighbor.go
@@ -382,8 +382,9 @@
 }
 
 func (s *observedStore) observe(ctx context.Context, sentAt time.Duration, err *error) {
+	timedOut := errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !timedOut:
 	case errors.Is(*err, storer.ErrUnavailable), errors.Is(*err, storer.ErrOutcomeUnknown):
 		s.router.StoreFailed(s.clock())
 	default:
--- a/internal/manager/prefix_watcher_test.go
+++ b/internal/manager/prefix_watcher_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/comfreyford/comfreyford/pkg/forwarder"
 	"github.com/comfreyford/comfreyford/pkg/storer"
 )
 
@@ -123,3 +124,36 @@
 		t.Errorf("ready %t, %v", w.ready.Load(), err)
 	}
 }
+
+// muteStore answers no call.
+type muteStore struct {
+	storer.TransactionalStore
+}
+
+func (s *muteStore) ScanPages(ctx context.Context, _ string, _ func([]storer.Item)) (storer.Version, error) {
+	<-ctx.Done()
+	return 0, fmt.Errorf("%w: %w", storer.ErrUnavailable, ctx.Err())
+}
+
+// Guards against a store that answers no page of a prefix and yet counts as one that serves this
+// daemon, because the time limit of a page looks like a caller that has gone.
+func TestPageWithoutAnswerCountsAsFailureOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		clock := func() time.Duration { return time.Since(began) }
+		router := forwarder.New(forwarder.Config{
+			Name: "edge-1",
+		})
+		store := &observedStore{
+			TransactionalStore: &muteStore{},
+			router:             router,
+			clock:              clock,
+		}
+		if _, err := scanPages(t.Context(), store, "op/", func([]storer.Item) {}); err == nil {
+			t.Fatal("a scan without an answer succeeds")
+		}
+		if !router.Unserved(clock() + time.Minute) {
+			t.Error("the router does not know that the store gave no answer")
+		}
+	})
+}
