--- a/internal/manager/admission.go
+++ b/internal/manager/admission.go
@@ -73,6 +73,26 @@
 	return retryAfter, !useful
 }
 
+// refuse reports whether a job is not accepted, and returns the answer for its caller then.
+func (f *Front) refuse(a authorizedCall, job *jobkeeper.Job, cell string) (answer Result, refused bool) {
+	if f.capacity.full(cell, job) {
+		f.cfg.Logger.Warn("job refused, accepted work takes the memory of the owner", "job", a.id, "queue", a.route.Queue, "team", a.team, "cell", cell)
+		return Result{
+			Verdict:    VerdictNotRun,
+			Reason:     "too much accepted work waits",
+			RetryAfter: fullRetryAfter + time.Duration(retryJitter(a.id)*float64(fullRetryAfter)),
+		}, true
+	}
+	if retryAfter, tooLate := f.admission.tooLate(a, job, cell); tooLate {
+		return Result{
+			Verdict:    VerdictNotRun,
+			Reason:     "the queue is too long for this job",
+			RetryAfter: retryAfter,
+		}, true
+	}
+	return Result{}, false
+}
+
 // mark stores that a job is refused or withdrawn. earlier is the version of an earlier refusal of
 // the same job, or zero.
 func (c *admissionControl) mark(ctx context.Context, a authorizedCall, state jobkeeper.State, earlier storer.Version) error {
--- a/internal/manager/capacity.go
+++ b/internal/manager/capacity.go
@@ -27,7 +27,7 @@
 
 // capacityControl bounds the accepted work that the owner of a cell has to hold in memory, by its
 // reports and by what this daemon has accepted lately. A team may hold as much as it leaves to the
-// others, so that no team shuts the others out.
+// others, so that none can starve the others.
 type capacityControl struct {
 	cfg  Config
 	view *fleetView
--- a/internal/manager/capacity_test.go
+++ b/internal/manager/capacity_test.go
@@ -11,7 +11,7 @@
 	"github.com/comfreyford/comfreyford/pkg/orchestrator"
 )
 
-// Guards against a team that shuts others out with the work that it has handed in, and against
+// Guards against a team that starves others with the work that it has handed in, and against
 // daemons that together accept far more than an owner can hold before it reports.
 func TestFullCellsTakeNoJobs(t *testing.T) {
 	const limit = 32 << 20
--- a/internal/manager/front.go
+++ b/internal/manager/front.go
@@ -214,12 +214,12 @@
 		if !ok {
 			return unknownIfUnanswered(unavailable("fleet not divided yet"), unanswered)
 		}
-		rejected := f.rejection(a, job, cell)
-		err := f.storeDecision(ctx, call, a, job, cell, refusal, rejected != Result{})
+		answer, refused := f.refuse(a, job, cell)
+		err := f.storeDecision(ctx, call, a, job, cell, refusal, refused)
 		var conflict *storer.ConflictError
 		switch {
-		case err == nil && rejected != Result{}:
-			return rejected
+		case err == nil && refused:
+			return answer
 		case err == nil:
 			f.capacity.add(cell, job)
 			f.cfg.Logger.Info("job accepted", "job", a.id, "queue", a.route.Queue, "team", a.team, "cell", cell, "config_version", a.conf.Version, "steps", len(job.Steps))
@@ -235,7 +235,7 @@
 			}
 			refusal = version
 		case errors.Is(err, storer.ErrOutcomeUnknown):
-			if rejected == (Result{}) {
+			if !refused {
 				unanswered = true
 				f.capacity.add(cell, job) // it may be stored
 			}
@@ -254,26 +254,6 @@
 	return unknownIfUnanswered(unavailable("store busy"), unanswered)
 }
 
-// rejection returns the answer for a job that is not accepted, or the zero Result.
-func (f *Front) rejection(a authorizedCall, job *jobkeeper.Job, cell string) Result {
-	if f.capacity.full(cell, job) {
-		f.cfg.Logger.Warn("job refused, accepted work takes the memory of the owner", "job", a.id, "queue", a.route.Queue, "team", a.team, "cell", cell)
-		return Result{
-			Verdict:    VerdictNotRun,
-			Reason:     "too much accepted work waits",
-			RetryAfter: fullRetryAfter + time.Duration(retryJitter(a.id)*float64(fullRetryAfter)),
-		}
-	}
-	if retryAfter, tooLate := f.admission.tooLate(a, job, cell); tooLate {
-		return Result{
-			Verdict:    VerdictNotRun,
-			Reason:     "the queue is too long for this job",
-			RetryAfter: retryAfter,
-		}
-	}
-	return Result{}
-}
-
 // storeDecision stores the job, or its refusal.
 func (f *Front) storeDecision(ctx context.Context, call Call, a authorizedCall, job *jobkeeper.Job, cell string, refusal storer.Version, refused bool) error {
 	ctx, cancel := f.withStoreTimeout(ctx, call)
@@ -326,9 +306,9 @@
 	homes := layout.Homes(a.team, a.conf.Engine.Teams[a.team].Limit)
 	homes = layout.OpenCells(homes, f.settings.evacuatedZones())
 	candidates := f.view.candidates(homes, job.Pool, jobRack(job))
-	roomy := slices.DeleteFunc(slices.Clone(candidates), func(c partitioner.Candidate) bool { return f.capacity.full(c.Cell, job) })
-	if len(roomy) > 0 {
-		candidates = roomy
+	withRoom := slices.DeleteFunc(slices.Clone(candidates), func(c partitioner.Candidate) bool { return f.capacity.full(c.Cell, job) })
+	if len(withRoom) > 0 {
+		candidates = withRoom
 	}
 	i := partitioner.Choose(candidates, [2]float64{rand.Float64(), rand.Float64()})
 	if i < 0 {
--- a/internal/manager/intake.go
+++ b/internal/manager/intake.go
@@ -24,17 +24,29 @@
 
 // scan reads all items of a prefix. It retries after failures until ctx ends.
 func (o *owner) scan(ctx context.Context, prefix string) ([]storer.Item, error) {
-	for {
+	var listing storer.Listing
+	err := o.retryRead(ctx, prefix, func() (err error) {
 		call, cancel := context.WithTimeout(ctx, loadTimeout)
-		listing, err := storer.Scan(call, o.cfg.Store, prefix)
-		cancel()
+		defer cancel()
+		listing, err = storer.Scan(call, o.cfg.Store, prefix)
+		return err
+	})
+	if err == nil {
+		o.progress()
+	}
+	return listing.Items, err
+}
+
+// retryRead reads a prefix for the takeover until that succeeds or ctx ends.
+func (o *owner) retryRead(ctx context.Context, prefix string, read func() error) error {
+	for {
+		err := read()
 		if err == nil {
-			o.progress()
-			return listing.Items, nil
+			return nil
 		}
 		o.logger.Warn("reading the store for the takeover failed, trying again", "prefix", prefix, "error", err)
 		if !sleeper.Sleep(ctx, watchRetryDelay) {
-			return nil, ctx.Err()
+			return ctx.Err()
 		}
 	}
 }
@@ -210,13 +222,10 @@
 // adoptEndedJobs passes the records of ended jobs to the engine, which deletes them when
 // their retention has passed.
 func (o *owner) adoptEndedJobs(ctx context.Context) {
-	for {
+	o.retryRead(ctx, jobkeeper.ProgressPrefix, func() error { //nolint:errcheck // fails when ctx has ended
 		_, err := scanPages(ctx, o.cfg.Store, jobkeeper.ProgressPrefix, o.adoptEnded)
-		if err == nil || !sleeper.Sleep(ctx, watchRetryDelay) {
-			return
-		}
-		o.logger.Warn("reading the records of ended jobs failed, trying again", "error", err)
-	}
+		return err
+	})
 }
 
 // adoptEnded passes those of the records that are of ended jobs of the cell to the engine.
--- a/internal/manager/prefix_watcher.go
+++ b/internal/manager/prefix_watcher.go
@@ -83,7 +83,6 @@
 			break
 		}
 		if cannotFollow(err) {
-			w.cfg.Logger.Info("changes in the store can't be followed, scanning again", "prefix", w.cfg.Prefix, "error", err)
 			sleeper.Sleep(ctx, watchRetryDelay-(w.cfg.Clock()-scannedAt))
 			continue
 		}
@@ -156,6 +155,7 @@
 		cancel()
 		switch {
 		case cannotFollow(err):
+			w.cfg.Logger.Info("changes in the store can't be followed, scanning again", "prefix", w.cfg.Prefix, "error", err)
 			return err
 		case err != nil:
 			w.failed(err)
--- a/internal/manager/stall.go
+++ b/internal/manager/stall.go
@@ -14,7 +14,8 @@
 	maxStall = 6 * time.Second
 	// stallCheck is the time between two checks.
 	stallCheck = 500 * time.Millisecond
-	// stalledDelay is how long a daemon that gave up waits, so that others come first.
+	// stalledDelay is how much longer a daemon that gave up waits before it competes again, so that another one
+	// can take over.
 	stalledDelay = 3 * time.Second
 )
 
--- a/pkg/orchestrator/advice.go
+++ b/pkg/orchestrator/advice.go
@@ -254,11 +254,15 @@
 	q := answer.Request
 	took := answer.ReceivedAt - answer.SentAt
 	j := e.jobs[q.Job]
-	if j == nil || j.occurrence(q.Occurrence) == nil {
+	var o *occurrence
+	if j != nil {
+		o = j.occurrence(q.Occurrence)
+	}
+	if o == nil {
 		e.cfg.Logger.Info("advice no longer needed", "job", q.Job, "step", q.Step, "took_ms", took.Milliseconds(), "error", answer.Err)
 		return
 	}
-	a := &j.occurrence(q.Occurrence).steps[q.Step].advice
+	a := &o.steps[q.Step].advice
 	a.pending = false
 	if answer.Err != nil {
 		a.failures++
--- a/pkg/orchestrator/demand.go
+++ b/pkg/orchestrator/demand.go
@@ -200,13 +200,11 @@
 			long++
 		}
 	}
-	if s.freshUncertain {
-		return all, long
-	}
+	fresh := s.freshStartable()
 	if now-s.occurrence.due > unschedulableAfter {
-		long += s.fresh()
+		long += fresh
 	}
-	return all + s.fresh(), long
+	return all + fresh, long
 }
 
 // QueueState is the state of a queue that the owner publishes to the other daemons.
--- a/pkg/orchestrator/held.go
+++ b/pkg/orchestrator/held.go
@@ -22,12 +22,8 @@
 
 // heldBytes counts one occurrence at least, which is opened when it is due.
 func (j *job) heldBytes() int64 {
-	if len(j.open) == 0 {
-		return HeldForWaitingJob(j.doc)
-	}
-	sum := documentBytes(j.doc)
+	sum := documentBytes(j.doc) + int64(max(1, len(j.open)))*occurrenceBytes(j.doc)
 	for _, o := range j.open {
-		sum += heldPerOccurrence + int64(len(o.steps))*heldPerStep
 		for _, s := range o.steps {
 			sum += int64(len(s.tasks)) * heldPerTask
 		}
@@ -37,7 +33,11 @@
 
 // HeldForWaitingJob returns about how much memory an owner needs for a job that has not begun.
 func HeldForWaitingJob(doc *jobkeeper.Job) int64 {
-	return documentBytes(doc) + heldPerOccurrence + int64(len(doc.Steps))*heldPerStep
+	return documentBytes(doc) + occurrenceBytes(doc)
+}
+
+func occurrenceBytes(doc *jobkeeper.Job) int64 {
+	return heldPerOccurrence + int64(len(doc.Steps))*heldPerStep
 }
 
 func documentBytes(doc *jobkeeper.Job) int64 {
--- a/pkg/orchestrator/occurrence.go
+++ b/pkg/orchestrator/occurrence.go
@@ -134,6 +134,14 @@
 // fresh returns the number of tasks that have no state: they have not begun.
 func (s *stepState) fresh() int { return s.step.Count - len(s.tasks) }
 
+// freshStartable returns the number of tasks that have no state and could start.
+func (s *stepState) freshStartable() int {
+	if s.freshUncertain {
+		return 0
+	}
+	return s.fresh()
+}
+
 // task returns the task with the index and gives it, and those before it, a state. The members of a
 // gang get theirs together.
 func (s *stepState) task(index int) *task {
--- a/pkg/orchestrator/schedule.go
+++ b/pkg/orchestrator/schedule.go
@@ -79,7 +79,7 @@
 	if s.allDone() {
 		return false
 	}
-	if s.fresh() > 0 && !s.freshUncertain {
+	if s.freshStartable() > 0 {
 		return true
 	}
 	for _, t := range s.tasks {
@@ -216,10 +216,10 @@
 // startTasks places the waiting tasks of a step one by one. It returns false if there was no
 // room for one of them, except when that task avoids a target that failed it.
 func (e *Engine) startTasks(p *pool, g group, views []packer.Target, now time.Duration) bool {
-	for n := range g.step.step.Count {
+	for n := range len(g.step.tasks) + g.step.freshStartable() {
 		t := g.step.peek(n)
 		if !t.startable(now) || t.trial() > 0 {
-			continue // in the case of a trial, startTrials places it
+			continue // startTrials places those that need a trial
 		}
 		if e.unansweredStarts >= maxUnanswered {
 			return true
--- a/pkg/orchestrator/trial.go
+++ b/pkg/orchestrator/trial.go
@@ -36,14 +36,15 @@
 		if !g.step.suspected() {
 			continue
 		}
+		waiting := g.step.startableTasks(now)
 		if g.step.step.Gang {
 			candidates = append(candidates, trialCandidate{
 				group: g,
-				tasks: g.step.startableTasks(now),
+				tasks: waiting,
 			})
 			continue
 		}
-		for _, t := range g.step.startableTasks(now) {
+		for _, t := range waiting {
 			if t.trial() > 0 {
 				candidates = append(candidates, trialCandidate{
 					group: g,
